--- /dev/null
+++ b/src/sassafraswharf_bench/__init__.py
@@ -0,0 +1,3 @@
+"""Upstream stand-in, load tool, demo, benchmarks and capacity measurements."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of sassafraswharf; the layout mirrors ``src/``."""
+
+from __future__ import annotations
