--- a/src/sassafraswharf/clock.py
+++ b/src/sassafraswharf/clock.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+
 from typing import Protocol
 
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from pathlib import Path
+from typing import TYPE_CHECKING
 
-import pytest
 from hypothesis import HealthCheck
 from hypothesis import settings
 
