--- /dev/null
+++ b/src/sassafraswharf/observability/__init__.py
@@ -0,0 +1,3 @@
+"""Logs and metrics."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/sassafraswharf/transport/__init__.py
@@ -0,0 +1,3 @@
+"""Messages between the system's processes: codec, authentication and sockets."""
+
+from __future__ import annotations
