--- /dev/null
+++ b/src/sassafraswharf/settings/typed_values.py
@@ -0,0 +1,152 @@
+"""Checks a decoded document against a ``TypedDict`` and fills in defaults.
+
+``msgspec`` checks types and ranges but ignores unknown fields of a
+``TypedDict`` and knows no defaults for it, so both are handled here.
+"""
+
+from __future__ import annotations
+
+import re
+
+from collections.abc import Mapping
+from enum import Enum
+from types import NoneType
+from types import UnionType
+from typing import Annotated
+from typing import Any
+from typing import Final
+from typing import NamedTuple
+from typing import NotRequired
+from typing import Required
+from typing import TypeAlias
+from typing import TypeVar
+from typing import Union
+from typing import get_args
+from typing import get_origin
+from typing import get_type_hints
+from typing import is_typeddict
+
+import msgspec
+
+from result import Err
+from result import Ok
+from result import Result
+
+
+T = TypeVar("T")
+Defaults: TypeAlias = Mapping[type, Mapping[str, object]]
+
+_ROOT: Final = "$"
+_WRAPPERS: Final = (Annotated, NotRequired, Required)
+_MESSAGE: Final = re.compile(
+    r"^(?P<reason>.*?)(?: - at `(?P<path>[^`]*)`)?$", re.DOTALL
+)
+_MISSING: Final = re.compile(r"^Object missing required field `(?P<field>[^`]*)`$")
+
+
+class ProblemKind(Enum):
+    """What is wrong with a field."""
+
+    UNKNOWN_FIELD = "unknown field"
+    INVALID_VALUE = "invalid value"
+    MISSING_FIELD = "missing field"
+
+
+class Problem(NamedTuple):
+    """One field that can't be accepted, with the path to it."""
+
+    kind: ProblemKind
+    path: str
+    reason: str
+
+    def __str__(self) -> str:
+        return f"{self.path or 'document'}: {self.reason}"
+
+
+def check_typed(
+    value: object, schema: type[T], defaults: Defaults
+) -> Result[T, Problem]:
+    """Return the value with defaults filled in, or its first problem.
+
+    The input is not modified.
+    """
+    filled = _fill(value, schema, "", defaults)
+    if isinstance(filled, Problem):
+        return Err(filled)
+    try:
+        return Ok(msgspec.convert(filled, schema))
+    except msgspec.ValidationError as error:
+        return Err(_problem_of(str(error)))
+
+
+def _fill(value: object, hint: Any, path: str, defaults: Defaults) -> object | Problem:  # noqa: ANN401
+    hint = _unwrap(hint)
+    if is_typeddict(hint) and isinstance(value, dict):
+        return _fill_fields(value, hint, path, defaults)
+    if get_origin(hint) is list and isinstance(value, list):
+        return _fill_items(value, get_args(hint)[0], path, defaults)
+    return value
+
+
+def _fill_fields(
+    value: dict[str, object],
+    hint: type,
+    path: str,
+    defaults: Defaults,
+) -> object | Problem:
+    hints = get_type_hints(hint, include_extras=True)
+    filled: dict[str, object] = dict(defaults.get(hint, {}))
+    for field, item in value.items():
+        child = f"{path}.{field}" if path else str(field)
+        if field not in hints:
+            known = ", ".join(sorted(hints))
+            return Problem(
+                ProblemKind.UNKNOWN_FIELD, child, f"unknown field; known are {known}"
+            )
+        checked = _fill(item, hints[field], child, defaults)
+        if isinstance(checked, Problem):
+            return checked
+        filled[field] = checked
+    return filled
+
+
+def _fill_items(
+    value: list[object],
+    hint: Any,  # noqa: ANN401
+    path: str,
+    defaults: Defaults,
+) -> object | Problem:
+    filled = []
+    for position, item in enumerate(value):
+        checked = _fill(item, hint, f"{path}[{position}]", defaults)
+        if isinstance(checked, Problem):
+            return checked
+        filled.append(checked)
+    return filled
+
+
+def _unwrap(hint: Any) -> Any:  # noqa: ANN401
+    """Return the type inside ``Annotated``, ``NotRequired`` and ``| None``."""
+    while True:
+        origin = get_origin(hint)
+        if origin in _WRAPPERS:
+            hint = get_args(hint)[0]
+        elif origin in (Union, UnionType):
+            present = [item for item in get_args(hint) if item is not NoneType]
+            if len(present) != 1:
+                return hint
+            hint = present[0]
+        else:
+            return hint
+
+
+def _problem_of(message: str) -> Problem:
+    """Translate a message of ``msgspec`` into a problem with a field path."""
+    match = _MESSAGE.match(message)
+    reason = match["reason"] if match else message
+    path = ((match["path"] if match else None) or _ROOT).removeprefix(_ROOT).lstrip(".")
+    missing = _MISSING.match(reason)
+    if missing is None:
+        return Problem(ProblemKind.INVALID_VALUE, path, reason)
+    child = f"{path}.{missing['field']}" if path else missing["field"]
+    return Problem(ProblemKind.MISSING_FIELD, child, "required field is missing")
--- /dev/null
+++ b/tests/settings/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the settings."""
+
+from __future__ import annotations
