--- /dev/null
+++ b/tests/configuration/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the configuration."""
+
+from __future__ import annotations
