--- /dev/null
+++ b/src/sassafraswharf/requests/admission.py
@@ -0,0 +1,309 @@
+"""Which requests an upstream works on now, and which wait or are refused."""
+
+from __future__ import annotations
+
+from enum import Enum
+from enum import auto
+from heapq import heappop
+from heapq import heappush
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from sassafraswharf.requests.concurrency_limit import ConcurrencyLimit
+from sassafraswharf.requests.outcome import OutcomeKind
+from sassafraswharf.requests.urgency import Urgency
+
+
+if TYPE_CHECKING:
+    from sassafraswharf.requests.outcome import Outcome
+    from sassafraswharf.requests.urgency import RequestFacts
+
+
+# Waiting places per concurrency slot. Waiting longer than a few service times
+# only moves the refusal to a later instant.
+QUEUE_PER_SLOT = {Urgency.NESTED: 4, Urgency.AT_MOST_ONCE: 4, Urgency.LOOKUP: 2}
+NESTED_IN_A_ROW = 8
+BOOKINGS_PER_LOOKUP = 3
+QUEUE_DELAY_TARGET_S = 0.02
+QUEUE_DELAY_INTERVAL_S = 0.1
+MIN_RETRY_AFTER_S = 0.05
+MAX_RETRY_AFTER_S = 2.0
+SMOOTHING = 0.1
+INITIAL_SERVICE_S = 0.005
+
+
+class Verdict(Enum):
+    """What to do with an offered request."""
+
+    RUN = auto()
+    WAIT = auto()
+    REFUSE = auto()
+    EXPIRED = auto()
+
+
+class Decision(NamedTuple):
+    """A verdict; ``retry_after_s`` is above zero only for a refusal."""
+
+    verdict: Verdict
+    retry_after_s: float = 0.0
+
+
+class Ticket(NamedTuple):
+    """A request that waits or is at work."""
+
+    request_id: int
+    facts: RequestFacts
+    queued_at: float
+    solo: bool
+
+
+Queue = list[tuple[int, float, int]]
+"""A heap of negated depth, deadline and request id."""
+
+
+class Admission:
+    """The admission control of one upstream.
+
+    At most the concurrency limit is at work. Within a class the request with
+    the least time left starts first. Nested calls start first, at most eight
+    in a row while others wait. Of the remaining starts bookings get three in
+    four and lookups one in four while both wait. Nothing that waits is evicted:
+    it starts, expires or is cancelled. Under overload (queue delay above 20 ms,
+    or one service time if longer, for 100 ms) lookups have waiting places for
+    a quarter of the slots only.
+
+    ``nested_levels`` above 0 is for services in a call cycle. Each level
+    reserves a slot for calls of at least its depth, which may use the declared
+    slots even when the adapted limit is lower; deeper calls never wait. A
+    nested call therefore never waits for its own parents. The deepest nested
+    call starts first: if it does not fit, no other does.
+
+    Request ids must be unique during the life of the object.
+
+    A solo request (a quarantine suspect) starts when nothing is at work, and
+    nothing starts beside it. While it waits, only nested calls start, since
+    the requests it waits for may depend on them.
+    """
+
+    def __init__(self, slots: int, nested_levels: int = 0) -> None:
+        self.slots = slots
+        self.nested_levels = min(nested_levels, slots - 1)
+        self.limit = ConcurrencyLimit(slots, 1 + self.nested_levels)
+        self.running: dict[int, Ticket] = {}
+        self.running_by_level = [0] * (self.nested_levels + 1)
+        self.waiting: dict[int, Ticket] = {}
+        self.queues: dict[Urgency, Queue] = {urgency: [] for urgency in Urgency}
+        self.solo_queue: Queue = []
+        self.counts = dict.fromkeys(Urgency, 0)
+        self.expired: list[int] = []
+        self.solo_running = False
+        self.nested_streak = 0
+        self.booking_streak = 0
+        self.service_s = INITIAL_SERVICE_S
+        self.delayed_since: float | None = None
+
+    def offer(
+        self, request_id: int, facts: RequestFacts, now: float, solo: bool = False
+    ) -> Decision:
+        """Decide on a request that has arrived.
+
+        After ``WAIT`` the id is returned later by one of the other methods:
+        to start it, or by :meth:`expire` as expired. A refused or expired
+        request was not run.
+        """
+        if facts.deadline_at <= now:
+            return Decision(Verdict.EXPIRED)
+        ticket = Ticket(request_id, facts, now, solo)
+        if self._starts_at_once(ticket):
+            self._start(ticket, now)
+            return Decision(Verdict.RUN)
+        wait_s = self.expected_wait_s(facts.urgency)
+        if not self._may_wait(ticket, wait_s, now):
+            retry_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
+            return Decision(Verdict.REFUSE, retry_s)
+        self.waiting[request_id] = ticket
+        queue = self.solo_queue if solo else self.queues[facts.urgency]
+        heappush(queue, (-facts.nested_depth, facts.deadline_at, request_id))
+        self.counts[facts.urgency] += 1
+        return Decision(Verdict.WAIT)
+
+    def finished(
+        self, request_id: int, service_s: float, outcome: Outcome, now: float
+    ) -> list[int]:
+        """Free the slot of a request and return the ids to start next."""
+        ticket = self._release(request_id)
+        if ticket is None:
+            return []
+        if outcome.kind is not OutcomeKind.NOT_RUN:
+            self.service_s += SMOOTHING * (service_s - self.service_s)
+            self.limit.observe(
+                ticket.facts.operation, service_s, outcome.upstream_failed, now
+            )
+        return self._start_waiting(now)
+
+    def cancelled(self, request_id: int, now: float) -> list[int]:
+        """Drop a request that waits or is at work; return the ids to start."""
+        ticket = self.waiting.pop(request_id, None)
+        if ticket is not None:
+            self.counts[ticket.facts.urgency] -= 1
+        else:
+            self._release(request_id)
+        return self._start_waiting(now)
+
+    def expire(self, now: float) -> list[int]:
+        """Remove and return the waiting requests whose deadline has passed."""
+        for ticket in list(self.waiting.values()):
+            if ticket.facts.deadline_at <= now:
+                self._expire(ticket)
+        expired, self.expired = self.expired, []
+        return expired
+
+    def withdraw_all(self) -> list[int]:
+        """Remove and return all waiting requests, for a drain or a handover."""
+        withdrawn = list(self.waiting)
+        self.waiting.clear()
+        for queue in (*self.queues.values(), self.solo_queue):
+            queue.clear()
+        self.counts = dict.fromkeys(Urgency, 0)
+        return withdrawn
+
+    @property
+    def next_expiry_at(self) -> float | None:
+        """The instant at which :meth:`expire` has something to return."""
+        deadlines = (ticket.facts.deadline_at for ticket in self.waiting.values())
+        return min(deadlines, default=None)
+
+    def expected_wait_s(self, urgency: Urgency) -> float:
+        """Return the expected wait behind the requests that start earlier."""
+        ahead = 1 + sum(self.counts[other] for other in Urgency if other <= urgency)
+        return ahead * self.service_s / max(1, self.limit.limit)
+
+    def overloaded(self, now: float) -> bool:
+        """Return whether the queue delay has been above its target for long."""
+        if not self.waiting or self.delayed_since is None:
+            return False
+        return now - self.delayed_since >= QUEUE_DELAY_INTERVAL_S
+
+    def _starts_at_once(self, ticket: Ticket) -> bool:
+        if ticket.solo:
+            return not self.running and not self.waiting
+        if not self._fits(ticket.facts):
+            return False
+        if not ticket.facts.nested:
+            return not self.waiting
+        head = self._head(self.queues[Urgency.NESTED], ticket.queued_at)
+        return head is None or ticket.facts.nested_depth > head.facts.nested_depth
+
+    def _may_wait(self, ticket: Ticket, wait_s: float, now: float) -> bool:
+        facts = ticket.facts
+        urgency = facts.urgency
+        if self.nested_levels and facts.nested_depth > self.nested_levels:
+            return False
+        if facts.deadline_at - now < wait_s + self.service_s:
+            return False
+        places = QUEUE_PER_SLOT[urgency] * self.slots
+        if urgency is Urgency.LOOKUP and self.overloaded(now):
+            places = max(1, self.slots // (1 + BOOKINGS_PER_LOOKUP))
+        return self.counts[urgency] < places
+
+    def _fits(self, facts: RequestFacts) -> bool:
+        if self.solo_running:
+            return False
+        at_work = len(self.running)
+        if not self.nested_levels:
+            return at_work < self.limit.limit
+        if at_work >= self.slots:
+            return False
+        if not facts.nested and at_work >= self.limit.limit:
+            return False
+        level = min(facts.nested_depth, self.nested_levels)
+        below = sum(self.running_by_level[:level])
+        for upper in range(level, self.nested_levels):
+            below += self.running_by_level[upper]
+            if below >= self.slots - (self.nested_levels - upper):
+                return False
+        return True
+
+    def _start(self, ticket: Ticket, now: float) -> None:
+        self.running[ticket.request_id] = ticket
+        level = min(ticket.facts.nested_depth, self.nested_levels)
+        self.running_by_level[level] += 1
+        self.solo_running = ticket.solo
+        self._note_delay(ticket, now)
+        urgency = ticket.facts.urgency
+        nested = urgency is Urgency.NESTED
+        self.nested_streak = self.nested_streak + 1 if nested else 0
+        if urgency is Urgency.AT_MOST_ONCE:
+            self.booking_streak += 1
+        elif urgency is Urgency.LOOKUP:
+            self.booking_streak = 0
+
+    def _note_delay(self, ticket: Ticket, now: float) -> None:
+        # Nested calls and bookings start early, so a short wait of theirs does
+        # not show that lookups wait for a short time as well.
+        urgency = ticket.facts.urgency
+        if ticket.solo or urgency is Urgency.NESTED:
+            return
+        if now - ticket.queued_at >= max(QUEUE_DELAY_TARGET_S, self.service_s):
+            if self.delayed_since is None:
+                self.delayed_since = now
+        elif urgency is Urgency.LOOKUP:
+            self.delayed_since = None
+
+    def _release(self, request_id: int) -> Ticket | None:
+        ticket = self.running.pop(request_id, None)
+        if ticket is not None:
+            level = min(ticket.facts.nested_depth, self.nested_levels)
+            self.running_by_level[level] -= 1
+            if ticket.solo:
+                self.solo_running = False
+        return ticket
+
+    def _start_waiting(self, now: float) -> list[int]:
+        started: list[int] = []
+        while (queue := self._next_queue(now)) is not None:
+            ticket = self.waiting.pop(heappop(queue)[2])
+            self.counts[ticket.facts.urgency] -= 1
+            self._start(ticket, now)
+            started.append(ticket.request_id)
+        if not self.waiting:
+            self.delayed_since = None
+        return started
+
+    def _next_queue(self, now: float) -> Queue | None:
+        if self.solo_running:
+            return None
+        solo_waits = self._head(self.solo_queue, now) is not None
+        if solo_waits and not self.running:
+            return self.solo_queue
+        for urgency in self._order():
+            if solo_waits and urgency is not Urgency.NESTED:
+                continue
+            head = self._head(self.queues[urgency], now)
+            if head is not None and self._fits(head.facts):
+                return self.queues[urgency]
+        return None
+
+    def _order(self) -> tuple[Urgency, Urgency, Urgency]:
+        if self.booking_streak >= BOOKINGS_PER_LOOKUP:
+            others = (Urgency.LOOKUP, Urgency.AT_MOST_ONCE)
+        else:
+            others = (Urgency.AT_MOST_ONCE, Urgency.LOOKUP)
+        if self.nested_streak >= NESTED_IN_A_ROW:
+            return (*others, Urgency.NESTED)
+        return (Urgency.NESTED, *others)
+
+    def _head(self, queue: Queue, now: float) -> Ticket | None:
+        while queue:
+            ticket = self.waiting.get(queue[0][2])
+            if ticket is not None and ticket.facts.deadline_at > now:
+                return ticket
+            heappop(queue)
+            if ticket is not None:
+                self._expire(ticket)
+        return None
+
+    def _expire(self, ticket: Ticket) -> None:
+        del self.waiting[ticket.request_id]
+        self.counts[ticket.facts.urgency] -= 1
+        self.expired.append(ticket.request_id)
--- /dev/null
+++ b/src/sassafraswharf/requests/outcome.py
@@ -0,0 +1,81 @@
+"""What a caller may be told after an exchange with an upstream or a router."""
+
+from __future__ import annotations
+
+from enum import Enum
+from enum import auto
+from typing import NamedTuple
+
+from sassafraswharf.codes import ResultCode
+
+
+class Exchange(Enum):
+    """How an exchange ended, as the sender observed it."""
+
+    NOTHING_SENT = auto()
+    CONNECTION_REFUSED = auto()
+    CANCELLED_BEFORE_SEND = auto()
+    ANSWERED = auto()
+    ANSWERED_NOT_RUN = auto()
+    CONNECTION_LOST = auto()
+    CUT_SHORT = auto()
+    TOO_LARGE = auto()
+    TIMED_OUT = auto()
+    CANCELLED = auto()
+
+
+class OutcomeKind(Enum):
+    """The three answers of the system."""
+
+    ANSWER = auto()
+    NOT_RUN = auto()
+    MAY_HAVE_RUN = auto()
+
+
+class Outcome(NamedTuple):
+    """The kind and code for the caller, and whether the upstream failed."""
+
+    kind: OutcomeKind
+    code: ResultCode
+    upstream_failed: bool
+
+
+_NOT_RUN = OutcomeKind.NOT_RUN
+_MAY_HAVE_RUN = OutcomeKind.MAY_HAVE_RUN
+
+# A first byte sent may have reached the upstream, so each state after it is
+# MAY_HAVE_RUN unless the upstream itself says otherwise in a complete answer.
+OUTCOMES: dict[Exchange, Outcome] = {
+    Exchange.NOTHING_SENT: Outcome(_NOT_RUN, ResultCode.NOT_RUN, False),
+    Exchange.CONNECTION_REFUSED: Outcome(_NOT_RUN, ResultCode.NO_UPSTREAM, True),
+    Exchange.CANCELLED_BEFORE_SEND: Outcome(_NOT_RUN, ResultCode.NOT_RUN, False),
+    Exchange.ANSWERED: Outcome(OutcomeKind.ANSWER, ResultCode.OK, False),
+    Exchange.ANSWERED_NOT_RUN: Outcome(_NOT_RUN, ResultCode.NOT_RUN, False),
+    Exchange.CONNECTION_LOST: Outcome(_MAY_HAVE_RUN, ResultCode.OUTCOME_UNKNOWN, True),
+    Exchange.CUT_SHORT: Outcome(_MAY_HAVE_RUN, ResultCode.ANSWER_INCOMPLETE, True),
+    Exchange.TOO_LARGE: Outcome(_MAY_HAVE_RUN, ResultCode.ANSWER_INCOMPLETE, False),
+    Exchange.TIMED_OUT: Outcome(_MAY_HAVE_RUN, ResultCode.UPSTREAM_TIMEOUT, True),
+    Exchange.CANCELLED: Outcome(_MAY_HAVE_RUN, ResultCode.OUTCOME_UNKNOWN, False),
+}
+
+NOT_RUN_STATUSES = frozenset({409, 503})
+
+
+def exchange_of_answer(status: int, not_run_header: bool, complete: bool) -> Exchange:
+    """Return how an exchange ended whose status line has arrived."""
+    if not complete:
+        return Exchange.CUT_SHORT
+    if not_run_header and status in NOT_RUN_STATUSES:
+        return Exchange.ANSWERED_NOT_RUN
+    return Exchange.ANSWERED
+
+
+def may_retry(outcome: Outcome, repeatable: bool) -> bool:
+    """Return whether another attempt is harmless.
+
+    A request that may not be repeated is sent again only if the first attempt
+    was certainly not run.
+    """
+    if outcome.kind is OutcomeKind.ANSWER:
+        return False
+    return repeatable or outcome.kind is OutcomeKind.NOT_RUN
--- /dev/null
+++ b/src/sassafraswharf/requests/retry_budget.py
@@ -0,0 +1,51 @@
+"""Bounds retries to a share of the traffic so that they can't add to overload."""
+
+from __future__ import annotations
+
+
+RETRY_SHARE = 0.1
+FLOOR_PER_S = 1.0
+MAX_TOKENS = 50.0
+
+
+class RetryBudget:
+    """Tokens that requests earn and retries spend.
+
+    Each request earns a tenth of a retry. A floor of one retry per second keeps
+    retries possible in a router with little traffic.
+    """
+
+    def __init__(self, now: float) -> None:
+        self.tokens = 1.0
+        self.updated_at = now
+
+    def on_request(self, now: float) -> None:
+        """Count a first attempt."""
+        self._refill(now)
+        self.tokens = min(MAX_TOKENS, self.tokens + RETRY_SHARE)
+
+    def try_spend(
+        self,
+        now: float,
+        deadline_at: float,
+        expected_s: float,
+        already_retried: bool = False,
+    ) -> bool:
+        """Return whether one retry may be sent, and spend its token.
+
+        There is no retry if the remaining time is shorter than the expected
+        duration of an attempt. A request that another router already sent as a
+        retry is not retried again, because attempts would multiply per hop.
+        """
+        self._refill(now)
+        if already_retried or deadline_at - now < expected_s or self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
+
+    def _refill(self, now: float) -> None:
+        elapsed_s = max(0.0, now - self.updated_at)
+        self.updated_at = max(now, self.updated_at)
+        # The floor refills up to a single token: it must not add up while idle.
+        if self.tokens < 1:
+            self.tokens = min(1.0, self.tokens + elapsed_s * FLOOR_PER_S)
--- /dev/null
+++ b/src/sassafraswharf/requests/upstream_choice.py
@@ -0,0 +1,165 @@
+"""Which of several upstreams serves a request that has no owner."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+
+if TYPE_CHECKING:
+    import random
+
+    from collections.abc import Sequence
+
+    from sassafraswharf.identifiers import UpstreamId
+
+
+SMOOTHING = 0.1
+RAMP_S = 10.0
+RAMP_START = 0.1
+EJECT_AFTER_FAILURES = 3
+EJECTED_S = 1.0
+MAX_EJECTED_S = 30.0
+HINT_PENALTY = 4.0
+MAX_DRAWS = 4
+UNMEASURED_WORK_S = 0.005
+
+
+class UpstreamRecord:
+    """What this router has measured of one upstream."""
+
+    __slots__ = (
+        "added_at",
+        "ejected_until",
+        "failures",
+        "in_flight",
+        "service_s",
+        "speed",
+        "unhealthy_hint",
+    )
+
+    def __init__(self, speed: float, now: float) -> None:
+        self.speed = speed
+        self.added_at = now
+        self.service_s: float | None = None
+        self.in_flight: dict[int, float] = {}
+        self.failures = 0
+        self.ejected_until = 0.0
+        self.unhealthy_hint = False
+
+
+class UpstreamChoice:
+    """Power of two choices by expected completion.
+
+    The expected completion is the smoothed service time, or the age of the
+    oldest request in flight if that is longer, times the requests in flight
+    plus one. The age finds an upstream that froze and finishes nothing.
+
+    The health endpoint is a hint. It has no effect unless this router has seen
+    the upstream fail, and it can only add to the distrust.
+    """
+
+    def __init__(self) -> None:
+        self.records: dict[UpstreamId, UpstreamRecord] = {}
+        self.work_s = UNMEASURED_WORK_S
+
+    def add(self, upstream: UpstreamId, speed: float, now: float) -> None:
+        """Start the ramp of an upstream that was admitted or restarted."""
+        self.records[upstream] = UpstreamRecord(max(speed, 1e-6), now)
+
+    def remove(self, upstream: UpstreamId) -> None:
+        """Forget an upstream."""
+        self.records.pop(upstream, None)
+
+    def choose(
+        self, candidates: Sequence[UpstreamId], now: float, rng: random.Random
+    ) -> UpstreamId | None:
+        """Return the better of two random candidates, ``None`` if there are none.
+
+        Candidates that are ejected after failures are drawn again a few times.
+        If all draws are ejected the best of them is used, since an upstream
+        that may work is better than no upstream.
+        """
+        if not candidates:
+            return None
+        if len(candidates) == 1:
+            return candidates[0]
+        best = candidates[0]
+        best_rank = (True, float("inf"))
+        for _ in range(MAX_DRAWS):
+            first = int(rng.random() * len(candidates))
+            second = int(rng.random() * (len(candidates) - 1))
+            second += second >= first
+            for index in (first, second):
+                rank = self.rank(candidates[index], now)
+                if rank < best_rank:
+                    best, best_rank = candidates[index], rank
+            if not best_rank[0]:
+                break
+        return best
+
+    def rank(self, upstream: UpstreamId, now: float) -> tuple[bool, float]:
+        """Return whether the upstream is ejected and its expected completion."""
+        record = self.records.get(upstream)
+        if record is None:
+            return (True, float("inf"))
+        service_s = record.service_s
+        if service_s is None:
+            service_s = self.work_s / record.speed
+        if record.in_flight:
+            oldest_at = next(iter(record.in_flight.values()))
+            service_s = max(service_s, now - oldest_at)
+        cost = service_s * (len(record.in_flight) + 1) * (1 + record.failures)
+        if record.unhealthy_hint and record.failures:
+            cost *= HINT_PENALTY
+        age_s = now - record.added_at
+        if age_s < RAMP_S:
+            cost /= RAMP_START + (1 - RAMP_START) * max(age_s, 0.0) / RAMP_S
+        return (record.ejected_until > now, cost)
+
+    def started(self, upstream: UpstreamId, request_id: int, now: float) -> None:
+        """Count a request that was sent to the upstream."""
+        record = self.records.get(upstream)
+        if record is not None:
+            record.in_flight[request_id] = now
+
+    def finished(
+        self, upstream: UpstreamId, request_id: int, failed: bool, now: float
+    ) -> None:
+        """Count the end of a request; a repeated or unknown one is ignored."""
+        record = self.records.get(upstream)
+        if record is None:
+            return
+        started_at = record.in_flight.pop(request_id, None)
+        if started_at is None:
+            return
+        if failed:
+            self._failed(record, now)
+            return
+        service_s = max(now - started_at, 0.0)
+        known_s = record.service_s
+        if known_s is None:
+            record.service_s = service_s
+        else:
+            record.service_s = known_s + SMOOTHING * (service_s - known_s)
+        self.work_s += SMOOTHING * (service_s * record.speed - self.work_s)
+        record.failures = 0
+        record.ejected_until = 0.0
+
+    def forgotten(self, upstream: UpstreamId, request_id: int) -> None:
+        """Drop a request that says nothing of the upstream: its caller left."""
+        record = self.records.get(upstream)
+        if record is not None:
+            record.in_flight.pop(request_id, None)
+
+    def health_hint(self, upstream: UpstreamId, healthy: bool) -> None:
+        """Keep what the health endpoint says of the upstream."""
+        record = self.records.get(upstream)
+        if record is not None:
+            record.unhealthy_hint = not healthy
+
+    def _failed(self, record: UpstreamRecord, now: float) -> None:
+        record.failures += 1
+        excess = record.failures - EJECT_AFTER_FAILURES
+        if excess >= 0:
+            ejected_s = min(MAX_EJECTED_S, EJECTED_S * 2.0 ** min(excess, 10))
+            record.ejected_until = now + ejected_s
--- /dev/null
+++ b/src/sassafraswharf/requests/urgency.py
@@ -0,0 +1,48 @@
+"""How urgent a request is; callers never state it."""
+
+from __future__ import annotations
+
+from enum import IntEnum
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+
+if TYPE_CHECKING:
+    from sassafraswharf.identifiers import ServiceName
+
+
+class Urgency(IntEnum):
+    """The classes of the admission queue in their order."""
+
+    NESTED = 0
+    AT_MOST_ONCE = 1
+    LOOKUP = 2
+
+
+class RequestFacts(NamedTuple):
+    """What admission knows about a request.
+
+    ``nested_depth`` is 0 for a request of a caller and one more than the depth
+    of the request during whose service an upstream sent this one. It must come
+    from the routers and never from a header of an outside caller.
+    """
+
+    service: ServiceName
+    operation: str
+    repeatable: bool
+    nested_depth: int
+    deadline_at: float
+    key: str | None
+    arrived_at: float
+
+    @property
+    def nested(self) -> bool:
+        """Whether an upstream sent the request while it served another one."""
+        return self.nested_depth > 0
+
+    @property
+    def urgency(self) -> Urgency:
+        """The class of the request, from its operation and its origin."""
+        if self.nested:
+            return Urgency.NESTED
+        return Urgency.LOOKUP if self.repeatable else Urgency.AT_MOST_ONCE
--- /dev/null
+++ b/tests/requests/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the decisions about requests."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/requests/test_classification.py
@@ -0,0 +1,143 @@
+from __future__ import annotations
+
+import pytest
+
+from multidict import CIMultiDict
+
+from sassafraswharf.codes import ResultCode
+from sassafraswharf.requests.classification import KeyDocument
+from sassafraswharf.requests.classification import ServiceDocument
+from sassafraswharf.requests.classification import compile_services
+from sassafraswharf.requests.classification import services_in_call_cycles
+
+
+def service(
+    name: str, prefix: str, key: KeyDocument | None, calls: tuple[str, ...] = ()
+) -> ServiceDocument:
+    return {
+        "name": name,
+        "prefix": prefix,
+        "key": key,
+        "slot_count": 4096,
+        "operations": {
+            "GET /items/{item}": "repeatable",
+            "GET /items/new": "repeatable",
+            "POST /items/{item}": "at_most_once",
+            "GET /files/*": "repeatable",
+        },
+        "deadline_s": 2.0,
+        "max_body_bytes": 1000,
+        "admit": "any",
+        "calls": calls,
+    }
+
+
+MATCHER = compile_services(
+    [
+        service("diary", "/diary", {"from": "path", "segment": 1}),
+        service("inner", "/diary/items/deep", None),
+        service("ticket", "/ticket", {"from": "header", "name": "Counter"}),
+        service("ledger", "/ledger", {"from": "query", "name": "book"}),
+    ]
+).unwrap()
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "query", "headers", "expected"),
+    [
+        ("GET", "/diary/items/a", "", [], ("diary", "GET /items/{item}", "a")),
+        ("GET", "/diary/items/new", "", [], ("diary", "GET /items/new", "new")),
+        ("POST", "/diary/items/a/", "", [], ("diary", "POST /items/{item}", "a")),
+        ("POST", "/diary/items/new", "", [], ("diary", "POST /items/{item}", "new")),
+        ("GET", "/di%61ry/items/a%2Fb", "", [], ("diary", "GET /items/{item}", "a/b")),
+        ("GET", "/diary/files/x/y", "", [], ("diary", "GET /files/*", "x")),
+        (
+            "GET",
+            "/diary/items/deep/items/a",
+            "",
+            [],
+            ("inner", "GET /items/{item}", None),
+        ),
+        (
+            "GET",
+            "/ticket/items/1",
+            "",
+            [("counter", "7")],
+            ("ticket", "GET /items/{item}", "7"),
+        ),
+        (
+            "GET",
+            "/ledger/items/1",
+            "a=1&b%6Fok=x+y",
+            [],
+            ("ledger", "GET /items/{item}", "x y"),
+        ),
+        ("GET", "/nothing", "", [], ResultCode.UNKNOWN_SERVICE),
+        ("GET", "/diaryitems", "", [], ResultCode.UNKNOWN_SERVICE),
+        ("PUT", "/diary/items/a", "", [], ResultCode.UNKNOWN_OPERATION),
+        ("GET", "/diary/files", "", [], ResultCode.UNKNOWN_OPERATION),
+        ("GET", "/diary/items/../items/a", "", [], ResultCode.BAD_REQUEST),
+        ("GET", "/diary/%2E%2e/items/a", "", [], ResultCode.BAD_REQUEST),
+        ("GET", "/diary//items/a", "", [], ResultCode.BAD_REQUEST),
+        ("GET", "/" + "a/" * 65, "", [], ResultCode.BAD_REQUEST),
+        ("GET", "/ticket/items/1", "", [], ResultCode.KEY_MISSING),
+        (
+            "GET",
+            "/ticket/items/1",
+            "",
+            [("Counter", "7"), ("Counter", "8")],
+            ResultCode.BAD_REQUEST,
+        ),
+        ("GET", "/ledger/items/1", "book=1&book=2", [], ResultCode.BAD_REQUEST),
+        ("GET", "/ledger/items/1", "book=", [], ResultCode.KEY_MISSING),
+    ],
+)
+def test_classify(
+    method: str,
+    path: str,
+    query: str,
+    headers: list[tuple[str, str]],
+    expected: tuple[str, str, str | None] | ResultCode,
+) -> None:
+    """Guards against a router and an upstream that read different keys."""
+    result = MATCHER.classify(method, path, query, CIMultiDict(headers))
+    if isinstance(expected, ResultCode):
+        assert result.unwrap_err().code is expected
+        return
+    found = result.unwrap()
+    assert (found.service, found.operation, found.key) == expected
+    assert found.repeatable is (method == "GET")
+
+
+@pytest.mark.parametrize(
+    ("prefixes", "operation"),
+    [
+        (("/a", "/a/"), "GET /x"),
+        (("a",), "GET /x"),
+        (("/a",), "GET"),
+        (("/a",), "GET /*/x"),
+        (("/a",), "GET /items/{other}"),
+    ],
+)
+def test_conflicting_documents_are_refused(
+    prefixes: tuple[str, ...], operation: str
+) -> None:
+    """Guards against two declarations that claim the same request."""
+    documents = [service("s", prefix, None) for prefix in prefixes]
+    documents[0]["operations"] = {
+        **documents[0]["operations"],
+        operation: "at_most_once",
+    }
+    code = compile_services(documents).unwrap_err().code
+    assert code is ResultCode.CONFIGURATION_INVALID
+
+
+def test_only_services_in_a_cycle_reserve_slots_for_nested_calls() -> None:
+    """Guards against slots reserved where no deadlock is possible."""
+    documents = [
+        service("a", "/a", None, ("b",)),
+        service("b", "/b", None, ("a", "c")),
+        service("c", "/c", None),
+        service("d", "/d", None, ("d",)),
+    ]
+    assert services_in_call_cycles(documents) == {"a", "b", "d"}
