--- /dev/null
+++ b/src/sassafraswharf_bench/standin/__init__.py
@@ -0,0 +1,3 @@
+"""Parts of the upstream stand-in."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/sassafraswharf_bench/standin/announcer.py
@@ -0,0 +1,55 @@
+"""Announcement of the stand-in to the router beside it."""
+
+from __future__ import annotations
+
+import asyncio
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+import aiohttp
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+ANNOUNCE_EVERY_S = 2.0
+ANNOUNCE_TIMEOUT_S = 1.0
+
+
+class Announcer:
+    """Posts the announcement every 2 s until it is cancelled.
+
+    ``describe`` returns the announcement, or None while nothing is announced.
+    """
+
+    def __init__(
+        self, router: str, describe: Callable[[], dict[str, Any] | None]
+    ) -> None:
+        self.url = f"{router.rstrip('/')}/-/announce"
+        self.describe = describe
+        self.sent = 0
+        self.failed = 0
+
+    async def run(self) -> None:
+        """Announce until cancelled; a failed attempt is counted and repeated."""
+        timeout = aiohttp.ClientTimeout(total=ANNOUNCE_TIMEOUT_S)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            while True:
+                await self.announce_once(session)
+                await asyncio.sleep(ANNOUNCE_EVERY_S)
+
+    async def announce_once(self, session: aiohttp.ClientSession) -> None:
+        """Post the announcement once."""
+        announcement = self.describe()
+        if announcement is None:
+            return
+        try:
+            async with session.post(self.url, json=announcement) as response:
+                if response.status < 300:
+                    self.sent += 1
+                    return
+        except (aiohttp.ClientError, TimeoutError):
+            pass
+        self.failed += 1
--- /dev/null
+++ b/tests/sassafraswharf_bench/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the benchmark programs."""
+
+from __future__ import annotations
