--- /dev/null
+++ b/src/sassafraswharf_bench/traffic/__init__.py
@@ -0,0 +1,3 @@
+"""Parts of the load tool."""
+
+from __future__ import annotations
