--- /dev/null
+++ b/src/sassafraswharf/consensus/core.py
@@ -0,0 +1,147 @@
+"""State that the jobs of a replica share."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from sassafraswharf.consensus.actions import Action
+from sassafraswharf.consensus.actions import ApplyEntries
+from sassafraswharf.consensus.actions import HardState
+from sassafraswharf.consensus.actions import PersistState
+from sassafraswharf.consensus.actions import Role
+from sassafraswharf.consensus.actions import RoleChanged
+from sassafraswharf.consensus.actions import SendMessage
+from sassafraswharf.consensus.log import ReplicaLog
+
+
+if TYPE_CHECKING:
+    import random
+
+    from collections.abc import Sequence
+
+    from sassafraswharf.consensus.entry import Entry
+    from sassafraswharf.consensus.entry import Snapshot
+    from sassafraswharf.consensus.messages import Body
+    from sassafraswharf.consensus.progress import Progress
+    from sassafraswharf.consensus.voters import Voters
+    from sassafraswharf.identifiers import ReplicaId
+
+
+NEVER = float("-inf")
+
+
+class ReplicaTiming(NamedTuple):
+    """Periods of a group in seconds."""
+
+    heartbeat_s: float = 0.075
+    election_min_s: float = 0.25
+    election_max_s: float = 0.40
+
+
+class ReplicaCore:
+    """Log, state and the actions collected during one call."""
+
+    def __init__(
+        self,
+        state: HardState,
+        names: Sequence[str],
+        snapshot: Snapshot | None,
+        entries: Sequence[Entry],
+        timing: ReplicaTiming,
+        rng: random.Random,
+        now: float,
+    ) -> None:
+        self.state = state
+        self.names = tuple(sorted(names))
+        self.timing = timing
+        self.rng = rng
+        self.log = ReplicaLog(snapshot, entries, state.founding)
+        self.persisted_index = self.log.last_index
+        self.commit_index = self.log.snapshot.log_index
+        self.leader: ReplicaId | None = None
+        # A voter that restarts may have promised its leader not to vote.
+        self.leader_heard_at = now
+        self.role = Role.FOLLOWER if self.is_voter else Role.LEARNER
+        self.election_due_at = now
+        self.heartbeat_due_at = now
+        self.progress: dict[ReplicaId, Progress] = {}
+        self.promises: set[ReplicaId] = set()
+        self.halted = False
+        self.actions: list[Action] = []
+        self.start_election_timer(now)
+
+    @property
+    def identity(self) -> ReplicaId:
+        """Return ``<name>:<random>``."""
+        return self.state.identity
+
+    @property
+    def term(self) -> int:
+        """Return the current term."""
+        return self.state.term
+
+    @property
+    def voters(self) -> Voters:
+        """Return the members in force."""
+        return self.log.voters
+
+    @property
+    def is_voter(self) -> bool:
+        """Return whether this identity is one of the voters."""
+        return self.identity in self.log.voters.voters
+
+    @property
+    def is_founded(self) -> bool:
+        """Return whether this replica knows of a group."""
+        return bool(self.log.last_index or self.log.voters.voters)
+
+    def take(self) -> list[Action]:
+        """Return and forget the collected actions."""
+        taken = self.actions
+        self.actions = []
+        return taken
+
+    def send(self, target: ReplicaId, body: Body) -> None:
+        """Collect a message."""
+        self.actions.append(SendMessage(target, body))
+
+    def update_state(self, state: HardState) -> None:
+        """Change the durable state."""
+        if state != self.state:
+            self.state = state
+            self.actions.append(PersistState(state))
+
+    def start_election_timer(self, now: float) -> None:
+        """Choose the next election time; a sole voter need not wait."""
+        low, high = self.timing.election_min_s, self.timing.election_max_s
+        sole = self.log.voters.voters == (self.identity,)
+        self.election_due_at = now if sole else now + self.rng.uniform(low, high)
+
+    def change_role(self, role: Role) -> None:
+        """Take a role and report it."""
+        if role is not self.role or role is Role.LEADER:
+            self.role = role
+            self.actions.append(RoleChanged(role, self.term))
+
+    def become_follower(self, term: int, leader: ReplicaId | None, now: float) -> None:
+        """Follow ``leader`` in ``term``, which is not lower than the current one."""
+        if term > self.term:
+            self.update_state(self.state._replace(term=term, voted_for=None))
+            self.reset_verified()
+        self.leader = leader
+        self.progress = {}
+        self.change_role(Role.FOLLOWER if self.is_voter else Role.LEARNER)
+        self.start_election_timer(now)
+
+    def reset_verified(self) -> None:
+        """Forget which prefix agrees with the leader of an older term."""
+
+    def commit_to(self, index: int) -> None:
+        """Advance the commit index and apply."""
+        index = min(index, self.log.last_index)
+        if index <= self.commit_index:
+            return
+        entries = self.log.between(self.commit_index + 1, index)
+        self.commit_index = index
+        self.actions.append(ApplyEntries(entries))
--- /dev/null
+++ b/src/sassafraswharf/consensus/log_file.py
@@ -0,0 +1,171 @@
+"""The file of a replica's log.
+
+A record consists of length of the data, CRC-32 of everything else, term, index,
+kind and data. Records follow each other without gaps.
+"""
+
+from __future__ import annotations
+
+import os
+import struct
+import zlib
+
+from typing import TYPE_CHECKING
+
+from sassafraswharf.codes import ResultCode
+from sassafraswharf.consensus.entry import Entry
+from sassafraswharf.consensus.entry import EntryKind
+from sassafraswharf.consensus.files import replace_file
+from sassafraswharf.exceptions import StorageError
+from sassafraswharf.failure import Failure
+
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+    from pathlib import Path
+
+
+LENGTH_AND_CRC = struct.Struct(">II")
+FIELDS = struct.Struct(">QQB")
+HEADER_BYTES = LENGTH_AND_CRC.size + FIELDS.size
+LAST_KIND = max(EntryKind)
+
+
+def encode_record(entry: Entry) -> bytes:
+    """Return the record of an entry."""
+    content = FIELDS.pack(entry.term, entry.log_index, entry.kind) + entry.data
+    length = len(entry.data)
+    crc = zlib.crc32(content, length)
+    return LENGTH_AND_CRC.pack(length, crc) + content
+
+
+def decode_record(data: memoryview, offset: int) -> Entry | None:
+    """Return the entry whose record starts at ``offset``, or None if invalid."""
+    start = offset + LENGTH_AND_CRC.size
+    if offset + HEADER_BYTES > len(data):
+        return None
+    length, crc = LENGTH_AND_CRC.unpack_from(data, offset)
+    end = offset + HEADER_BYTES + length
+    if end > len(data):
+        return None
+    term, index, kind = FIELDS.unpack_from(data, start)
+    if kind > LAST_KIND or zlib.crc32(data[start:end], length) != crc:
+        return None
+    body = bytes(data[offset + HEADER_BYTES : end])
+    return Entry(index, term, EntryKind(kind), body)
+
+
+def read_records(content: bytes) -> tuple[list[Entry], int]:
+    """Return the entries and the length of the valid part.
+
+    Only the tail may be invalid, because a crash can cut the last writes short.
+    A valid record after an invalid one means that synced data has changed, which
+    raises ``StorageError`` with 5003. Damage that affects only the last record
+    can't be told from a write cut short.
+    """
+    entries: list[Entry] = []
+    view = memoryview(content)
+    offset = 0
+    while offset < len(content):
+        entry = decode_record(view, offset)
+        if entry is None:
+            refuse_later_record(view, offset, entries)
+            break
+        if entries and not follows(entries[-1], entry):
+            raise corrupt(offset, "the record does not continue the log")
+        entries.append(entry)
+        offset += HEADER_BYTES + len(entry.data)
+    return entries, offset
+
+
+def follows(previous: Entry, entry: Entry) -> bool:
+    """Return whether two entries can be neighbours."""
+    return entry.log_index == previous.log_index + 1 and entry.term >= previous.term
+
+
+def refuse_later_record(view: memoryview, offset: int, entries: list[Entry]) -> None:
+    """Raise 5003 if a valid record that continues the log follows ``offset``."""
+    lowest = entries[-1].log_index + 1 if entries else 1
+    lowest_term = entries[-1].term if entries else 0
+    for later in range(offset + 1, len(view) - HEADER_BYTES + 1):
+        entry = decode_record(view, later)
+        if entry and entry.log_index >= lowest and entry.term >= lowest_term:
+            raise corrupt(offset, f"but record {entry.log_index} at {later} is valid")
+
+
+def corrupt(offset: int, reason: str) -> StorageError:
+    """Return the error of a log that must not be used."""
+    message = f"log record at byte {offset} is corrupt: {reason}"
+    return StorageError(Failure(ResultCode.LOG_CORRUPT, message))
+
+
+class LogFile:
+    """An open log file. Writes are durable after ``sync``."""
+
+    def __init__(self, path: Path) -> None:
+        self.path = path
+        self.entries, self.size = read_records(path.read_bytes())
+        self.first_index = self.entries[0].log_index if self.entries else 0
+        self.offsets: list[int] = []
+        offset = 0
+        for entry in self.entries:
+            self.offsets.append(offset)
+            offset += HEADER_BYTES + len(entry.data)
+        self.file = os.open(path, os.O_RDWR | os.O_CLOEXEC)
+        if path.stat().st_size != self.size:
+            os.ftruncate(self.file, self.size)
+            self.sync()
+
+    def append(self, entries: Sequence[Entry]) -> None:
+        """Write entries that continue the log."""
+        records = [encode_record(entry) for entry in entries]
+        if not self.offsets:
+            self.first_index = entries[0].log_index
+        self.write(b"".join(records))
+        for record in records:
+            self.offsets.append(self.size)
+            self.size += len(record)
+
+    def write(self, content: bytes) -> None:
+        """Write at the end; a short write continues or raises."""
+        view = memoryview(content)
+        offset = self.size
+        while view:
+            written = os.pwrite(self.file, view, offset)
+            offset += written
+            view = view[written:]
+
+    def truncate(self, index: int) -> None:
+        """Remove the records from ``log_index`` on.
+
+        The new size is synced before anything is written, because otherwise a
+        crash could leave a new record followed by an old one.
+        """
+        position = max(index - self.first_index, 0)
+        if position >= len(self.offsets):
+            return
+        self.size = self.offsets[position]
+        del self.offsets[position:]
+        os.ftruncate(self.file, self.size)
+        self.sync()
+
+    def rewrite(self, entries: Sequence[Entry]) -> None:
+        """Replace all records in one atomic step."""
+        records = [encode_record(entry) for entry in entries]
+        replace_file(self.path, b"".join(records))
+        os.close(self.file)
+        self.file = os.open(self.path, os.O_RDWR | os.O_CLOEXEC)
+        self.first_index = entries[0].log_index if entries else 0
+        self.offsets = []
+        self.size = 0
+        for record in records:
+            self.offsets.append(self.size)
+            self.size += len(record)
+
+    def sync(self) -> None:
+        """Make all writes durable."""
+        os.fdatasync(self.file)
+
+    def close(self) -> None:
+        """Close the file."""
+        os.close(self.file)
--- /dev/null
+++ b/src/sassafraswharf/consensus/membership.py
@@ -0,0 +1,219 @@
+"""Membership: founding, joining, voter changes and replacement of lost disks."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from result import Err
+from result import Ok
+from result import Result
+
+from sassafraswharf.codes import ResultCode
+from sassafraswharf.consensus.actions import Role
+from sassafraswharf.consensus.entry import EntryKind
+from sassafraswharf.consensus.messages import FoundingPromise
+from sassafraswharf.consensus.messages import FoundingQuery
+from sassafraswharf.consensus.messages import FoundingVoters
+from sassafraswharf.consensus.messages import JoinRequest
+from sassafraswharf.consensus.snapshots import SnapshotTransfer
+from sassafraswharf.consensus.voters import VoterChange
+from sassafraswharf.consensus.voters import VoterChangeKind
+from sassafraswharf.consensus.voters import Voters
+from sassafraswharf.consensus.voters import encode_voters
+from sassafraswharf.consensus.voters import host_name
+from sassafraswharf.failure import Failure
+from sassafraswharf.identifiers import ReplicaId
+
+
+if TYPE_CHECKING:
+    from sassafraswharf.consensus.actions import Action
+
+
+# A learner may become a voter when it lacks at most this many entries.
+CATCH_UP_ENTRIES = 64
+
+
+class Membership(SnapshotTransfer):
+    """Who belongs to the group.
+
+    A group is founded once. The host whose name sorts first asks every named
+    host for a promise, which only an empty replica gives, and founds the group
+    when it has all of them. A host that lost its disk later has a new identity
+    and finds at least one member that gives no promise, so it can only join.
+    """
+
+    was_member = False
+    join_due_at = 0.0
+
+    # Founding and joining.
+
+    def seek_group(self, now: float) -> None:
+        """Ask for a group, as founder and as joiner."""
+        if now < self.join_due_at or not self.wants_to_join(now):
+            return
+        self.join_due_at = now + self.timing.election_min_s
+        if not self.is_founded and self.founder == host_name(self.identity):
+            self.found_if_promised(now)
+        for name in self.names:
+            if name == host_name(self.identity):
+                continue
+            target = ReplicaId(name)
+            if not self.is_founded and self.founder == host_name(self.identity):
+                self.send(target, FoundingQuery(self.names))
+            self.send(target, JoinRequest(self.identity))
+
+    @property
+    def founder(self) -> str:
+        """Return the name of the host that founds the group."""
+        return self.names[0] if self.names else ""
+
+    def wants_to_join(self, now: float) -> bool:
+        """Return whether no leader knows this replica.
+
+        A replica that was removed by a voter change stays away. One whose
+        addition was lost with a leader still finds itself in its log.
+        """
+        if self.is_voter:
+            return False
+        if not self.is_founded:
+            return True
+        silent = now - self.leader_heard_at > self.timing.election_max_s
+        return silent and not self.was_removed()
+
+    def was_removed(self) -> bool:
+        """Return whether an older configuration in the log had this replica."""
+        if self.identity in self.log.voters.members:
+            return False
+        return any(self.identity in one.members for _, one in self.log.configurations)
+
+    def on_founding_query(
+        self, sender: ReplicaId, message: FoundingQuery, now: float
+    ) -> None:
+        """Promise to accept voters from the sender only, if this replica is empty."""
+        del now
+        if self.is_founded or message.names != self.names:
+            return
+        if host_name(sender) != self.founder:
+            return
+        self.update_state(self.state._replace(promised_to=sender))
+        self.send(sender, FoundingPromise(sender))
+
+    def on_founding_promise(
+        self, sender: ReplicaId, message: FoundingPromise, now: float
+    ) -> None:
+        """Count a promise made to this identity."""
+        if message.founder != self.identity or self.is_founded:
+            return
+        same = {one for one in self.promises if host_name(one) == host_name(sender)}
+        self.promises = (self.promises - same) | {sender}
+        self.found_if_promised(now)
+
+    def found_if_promised(self, now: float) -> None:
+        """Found the group when every named host has promised."""
+        voters = {*self.promises, self.identity}
+        if {host_name(one) for one in voters} != set(self.names):
+            return
+        founding = Voters(tuple(sorted(voters)))
+        self.adopt(founding, now)
+        for target in sorted(self.promises):
+            self.send(target, FoundingVoters(founding))
+
+    def on_founding_voters(
+        self, sender: ReplicaId, message: FoundingVoters, now: float
+    ) -> None:
+        """Become a voter of the group that was promised to the sender."""
+        if self.is_founded or self.state.promised_to != sender:
+            return
+        if self.identity in message.voters.voters:
+            self.adopt(message.voters, now)
+
+    def adopt(self, founding: Voters, now: float) -> None:
+        """Start as a voter of a new group."""
+        self.log.configurations = [(0, founding)]
+        self.update_state(self.state._replace(founding=founding))
+        self.change_role(Role.FOLLOWER)
+        self.start_election_timer(now)
+
+    def on_join(self, sender: ReplicaId, message: JoinRequest, now: float) -> None:
+        """Add a replica as a learner, or pass its request to the leader."""
+        if self.role is Role.LEADER:
+            if message.replica not in self.log.voters.members:
+                change = VoterChange(VoterChangeKind.ADD_LEARNER, message.replica)
+                self.change_members(change, now)
+        elif self.leader and sender == message.replica:
+            self.send(self.leader, message)
+
+    # Voter changes.
+
+    def propose_voters(
+        self, change: VoterChange, now: float
+    ) -> Result[tuple[int, list[Action]], Failure]:
+        """Append one change of the members; return its index and the actions.
+
+        The change is refused with 5001 on other replicas than the leader, and
+        with 5006 if it isn't allowed now: another change is not yet committed,
+        or a learner has not caught up.
+        """
+        if self.role is not Role.LEADER or self.transfer_to or self.halted:
+            return Err(Failure(ResultCode.NOT_LEADER, f"leader is {self.leader}"))
+        return self.change_members(change, now).map(lambda at: (at, self.take()))
+
+    def change_members(self, change: VoterChange, now: float) -> Result[int, Failure]:
+        """Append a change if the previous one is committed."""
+        # Two changes at once, or a change before the own term's first commit, can
+        # leave two majorities without a common voter.
+        if self.log.voters_index > self.commit_index:
+            return self.refuse_change("the previous change is not yet committed")
+        if self.commit_index < self.term_start_index:
+            return self.refuse_change("the leader has not committed in its term")
+        change = self.log.voters.resolve(change)
+        adds_voter = change.kind is VoterChangeKind.ADD_VOTER
+        if adds_voter and not self.has_caught_up(change.replica):
+            return self.refuse_change(f"{change.replica} has not caught up")
+        changed = self.log.voters.apply(change)
+        if isinstance(changed, Err):
+            return changed
+        data = encode_voters(changed.ok_value)
+        index = self.append_own([(EntryKind.VOTERS, data)])[0]
+        self.broadcast(now, heartbeat=False)
+        return Ok(index)
+
+    def refuse_change(self, reason: str) -> Err[Failure]:
+        """Return a refusal."""
+        return Err(Failure(ResultCode.VOTER_CHANGE_REFUSED, reason))
+
+    def has_caught_up(self, replica: ReplicaId) -> bool:
+        """Return whether a learner has almost everything that is in the log."""
+        progress = self.progress.get(replica)
+        if not progress or progress.match_index < self.term_start_index:
+            return False
+        return self.log.last_index - progress.match_index <= CATCH_UP_ENTRIES
+
+    def replace_lost(self, now: float) -> None:
+        """Give a voter's place to the caught-up learner with the same host name.
+
+        The lost identity is removed first. Adding first would make a second loss
+        of the same host's disk cost the quorum of a group of three.
+        """
+        voters = self.log.voters
+        trusted = now - self.timing.election_max_s
+        for learner in voters.learners:
+            if not self.has_caught_up(learner):
+                continue
+            name = host_name(learner)
+            lost = [one for one in voters.voters if host_name(one) == name]
+            if name in voters.vacancies and not lost:
+                change = VoterChange(VoterChangeKind.ADD_VOTER, learner)
+                self.change_members(change, now)
+                return
+            if lost and self.contact_at(lost[0], now) < trusted:
+                self.change_members(VoterChange(VoterChangeKind.VACATE, lost[0]), now)
+                return
+
+    def after_commit(self, now: float) -> None:
+        """Step down after the own removal; continue replacements."""
+        if not self.is_voter and self.log.voters_index <= self.commit_index:
+            self.broadcast(now, heartbeat=True)
+            self.become_follower(self.term, None, now)
+            return
+        self.replace_lost(now)
--- /dev/null
+++ b/src/sassafraswharf/consensus/progress.py
@@ -0,0 +1,71 @@
+"""What a leader knows about one other replica."""
+
+from __future__ import annotations
+
+from collections import deque
+
+from sassafraswharf.consensus.core import NEVER
+
+
+# Flow control: batches in flight to one replica, and the size of a batch. With the
+# envelope a batch stays below the 1 MiB limit of a message.
+WINDOW_BATCHES = 16
+BATCH_ENTRIES = 1_024
+BATCH_BYTES = 256 * 1_024
+COMMAND_BYTES = 768 * 1_024
+
+
+class Progress:
+    """Replication to one replica."""
+
+    def __init__(self, next_index: int) -> None:
+        self.match_index = 0
+        self.next_index = next_index
+        self.in_flight: deque[int] = deque()
+        # After a refusal one batch at a time is sent, starting after this index,
+        # until one is accepted. Otherwise each refusal of a whole window would
+        # cause the window to be sent again.
+        self.probe_index: int | None = None
+        # The instant at which the newest answered message was sent. The replica
+        # refuses votes at least from then on.
+        self.contact_at = NEVER
+        self.snapshot_index = 0
+        self.snapshot_offset = 0
+        self.snapshot_sent_at = NEVER
+
+    @property
+    def has_room(self) -> bool:
+        """Return whether another batch may be sent."""
+        limit = WINDOW_BATCHES if self.probe_index is None else 1
+        return len(self.in_flight) < limit
+
+    def heard(self, sent_at: float, now: float) -> None:
+        """Record an answer to a message of this leader."""
+        if self.contact_at < sent_at <= now:
+            self.contact_at = sent_at
+
+    def sent(self, last_index: int) -> None:
+        """Record a batch."""
+        self.in_flight.append(last_index)
+        self.next_index = last_index + 1
+
+    def accepted(self, index: int) -> None:
+        """Record that the log agrees and is synced up to ``log_index``."""
+        self.match_index = max(self.match_index, index)
+        self.probe_index = None
+        self.next_index = max(self.next_index, self.match_index + 1)
+        while self.in_flight and self.in_flight[0] <= self.match_index:
+            self.in_flight.popleft()
+
+    def refused(self, previous: int, hint: int) -> None:
+        """Go back to the last position that may agree."""
+        if self.probe_index not in {None, previous} or previous < self.match_index:
+            return
+        self.probe_index = max(min(previous - 1, hint), self.match_index, 0)
+        self.probe_again()
+
+    def probe_again(self) -> None:
+        """Repeat the batch that follows the probed index."""
+        if self.probe_index is not None:
+            self.in_flight.clear()
+            self.next_index = self.probe_index + 1
--- /dev/null
+++ b/src/sassafraswharf/consensus/state_machine.py
@@ -0,0 +1,18 @@
+"""What a group replicates."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+
+class StateMachine(Protocol):
+    """A deterministic state that is changed by committed commands only."""
+
+    def apply(self, index: int, command: bytes) -> bytes:
+        """Apply a command and return its answer."""
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+
+    def restore(self, snapshot: bytes) -> None:
+        """Replace the whole state."""
--- /dev/null
+++ b/tests/consensus/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the replicated log."""
+
+from __future__ import annotations
