--- a/src/sassafraswharf/configuration/documents.py
+++ b/src/sassafraswharf/configuration/documents.py
@@ -21,7 +21,7 @@
 DEFAULT_DEADLINE_S: Final = 5.0
 DEFAULT_BODY_BYTES: Final = 1_048_576
 MAX_BODY_BYTES: Final = 67_108_864
-DEFAULT_MOVES_PER_MINUTE: Final = 60
+DEFAULT_MOVES_PER_MINUTE: Final = 0
 DEFAULT_MINIMUM_BENEFIT: Final = 0.05
 
 Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9._-]*\Z", max_length=63)]
@@ -60,8 +60,8 @@
     """How often the requests of one method and path may run.
 
     ``path`` is matched against the path after the prefix. ``*`` matches one
-    segment; ``**`` as the last segment matches one or more. The first operation
-    of a service that matches a request is used.
+    segment; ``**`` as the last segment matches one or more. The most specific
+    operation is used: literal segments come before wildcards.
     """
 
     method: Method
@@ -94,7 +94,10 @@
 
 
 class PlacementDocument(TypedDict):
-    """Limits on moves of slots that have an available owner."""
+    """Limits on moves of slots that have an available owner.
+
+    ``moves_per_minute`` 0 stands for a quarter of the slots of a service.
+    """
 
     moves_per_minute: Annotated[int, msgspec.Meta(ge=0, le=100_000)]
     minimum_benefit: Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
--- /dev/null
+++ b/src/sassafraswharf/control/admin_api.py
@@ -0,0 +1,376 @@
+"""The admin API under ``/v1``; ``docs/admin-api.md`` describes it."""
+
+from __future__ import annotations
+
+import hmac
+import time
+
+from typing import TYPE_CHECKING
+from typing import Final
+
+import msgspec
+
+from aiohttp import web
+from result import Err
+from result import Ok
+
+from sassafraswharf.cell.codec import decode_reply
+from sassafraswharf.cell.codec import encode_command
+from sassafraswharf.cell.commands import AdmitUpstream
+from sassafraswharf.cell.commands import DrainUpstream
+from sassafraswharf.cell.commands import ReleaseSuspect
+from sassafraswharf.cell.commands import RemoveUpstream
+from sassafraswharf.codes import ResultCode
+from sassafraswharf.configuration.commands import ApplyChange
+from sassafraswharf.configuration.commands import ChangeReply
+from sassafraswharf.configuration.commands import check_change
+from sassafraswharf.configuration.commands import decode_reply as decode_change_reply
+from sassafraswharf.configuration.commands import encode_command as encode_change
+from sassafraswharf.configuration.validation import check_document
+from sassafraswharf.configuration.validation import encode_document
+from sassafraswharf.consensus.voters import VoterChange
+from sassafraswharf.consensus.voters import VoterChangeKind
+from sassafraswharf.control import admin_views
+from sassafraswharf.control.control_part import CONFIGURATION_GROUP
+from sassafraswharf.failure import Failure
+from sassafraswharf.identifiers import GroupId
+from sassafraswharf.identifiers import ReplicaId
+from sassafraswharf.identifiers import UpstreamId
+from sassafraswharf.router.request_reader import read_body
+
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from result import Result
+
+    from sassafraswharf.cell.commands import Command
+    from sassafraswharf.control.control_part import ControlPart
+
+    Handler = Callable[[web.Request], Awaitable[web.Response]]
+    Body = dict[str, object]
+
+
+MAX_BODY_BYTES: Final = 2_097_152
+BODY_TIMEOUT_S: Final = 10.0
+PROPOSAL_TIMEOUT_S: Final = 3.0
+DEFAULT_AUDIT_LIMIT: Final = 100
+MAX_AUDIT_LIMIT: Final = 1_000
+HTTP_STATUS: Final = {
+    ResultCode.OK: 200,
+    ResultCode.BAD_REQUEST: 400,
+    ResultCode.CONFIGURATION_INVALID: 400,
+    ResultCode.OPERATOR_UNAUTHENTICATED: 401,
+    ResultCode.UNKNOWN_UPSTREAM: 404,
+    ResultCode.UNKNOWN_HOST: 404,
+    ResultCode.UNKNOWN_SERVICE: 404,
+    ResultCode.CONFIGURATION_CONFLICT: 409,
+    ResultCode.CHANGE_ID_REUSED: 409,
+    ResultCode.INVALID_TRANSITION: 409,
+    ResultCode.VOTER_CHANGE_REFUSED: 409,
+    ResultCode.BODY_TOO_LARGE: 413,
+    ResultCode.NOT_LEADER: 421,
+    ResultCode.PROPOSAL_TIMEOUT: 504,
+}
+UPSTREAM_COMMANDS: Final[dict[str, Callable[[UpstreamId, str, float], Command]]] = {
+    "admit": AdmitUpstream,
+    "drain": DrainUpstream,
+    "remove": RemoveUpstream,
+}
+VOTER_ACTIONS: Final = {
+    "add": VoterChangeKind.ADD_VOTER,
+    "remove": VoterChangeKind.REMOVE,
+}
+
+
+class AdminApi:
+    """Answers operators on the admin port of a control host."""
+
+    def __init__(self, control: ControlPart, operator_key: bytes) -> None:
+        """Keep the key that changes must be authorised with."""
+        self.control = control
+        self.operator_key = operator_key
+
+    def add_routes(self, application: web.Application) -> None:
+        """Register all endpoints."""
+        reads: dict[str, Handler] = {
+            "/v1/configuration": self.get_configuration,
+            "/v1/status": self.get_status,
+            "/v1/owners": self.get_owners,
+            "/v1/upstreams": self.get_upstreams,
+            "/v1/audit": self.get_audit,
+            "/v1/suspects": self.get_suspects,
+            "/v1/explain": self.get_explain,
+            "/v1/voters": self.get_voters,
+        }
+        changes: dict[str, Handler] = {
+            "/v1/configuration": self.post_configuration,
+            "/v1/upstreams/{id}/{action:admit|drain|remove}": self.post_upstream,
+            "/v1/suspects/{digest}/release": self.post_release,
+            "/v1/voters": self.post_voters,
+        }
+        for path, handler in reads.items():
+            application.router.add_get(path, handler)
+        for path, handler in changes.items():
+            application.router.add_post(path, self.authorised(handler))
+
+    def authorised(self, handler: Handler) -> Handler:
+        """Return a handler that first checks the operator key."""
+        expected = b"Bearer " + self.operator_key
+
+        async def checked(request: web.Request) -> web.Response:
+            given = request.headers.get("Authorization", "")
+            if not hmac.compare_digest(
+                given.encode("utf-8", "surrogateescape"), expected
+            ):
+                return refuse(
+                    Failure(
+                        ResultCode.OPERATOR_UNAUTHENTICATED,
+                        "the operator key is missing or wrong",
+                    )
+                )
+            return await handler(request)
+
+        return checked
+
+    async def post_configuration(self, request: web.Request) -> web.Response:
+        """Submit a change of the configuration."""
+        change = await self.read_change(request)
+        if isinstance(change, Err):
+            return refuse(change.err_value)
+        group = self.control.groups[CONFIGURATION_GROUP]
+        reply = await group.propose(encode_change(change.ok_value), PROPOSAL_TIMEOUT_S)
+        if isinstance(reply, Err):
+            return self.refuse_for(CONFIGURATION_GROUP, reply.err_value)
+        decoded = decode_change_reply(reply.ok_value)
+        if isinstance(decoded, Err):
+            return refuse(decoded.err_value)
+        return change_answer(decoded.ok_value)
+
+    async def read_change(self, request: web.Request) -> Result[ApplyChange, Failure]:
+        """Return the checked change in the body of a request."""
+        body = await read_json(request)
+        if isinstance(body, Err):
+            return body
+        document = check_document(body.ok_value.get("document"))
+        if isinstance(document, Err):
+            return document
+        try:
+            change = ApplyChange(
+                msgspec.convert(body.ok_value.get("change_id"), str),
+                msgspec.convert(body.ok_value.get("base_revision"), int),
+                encode_document(document.ok_value),
+                msgspec.convert(body.ok_value.get("author"), str),
+                time.time(),
+            )
+        except msgspec.ValidationError as error:
+            return Err(Failure(ResultCode.BAD_REQUEST, str(error)))
+        return check_change(change)
+
+    async def get_configuration(self, request: web.Request) -> web.Response:
+        """Return the configuration in force, or an older one that is held."""
+        history = self.control.configuration.history
+        text = request.query.get("revision")
+        if text is None:
+            return web.json_response(admin_views.revision(history.newest))
+        if not text.isdecimal():
+            return refuse(Failure(ResultCode.BAD_REQUEST, "revision is not a number"))
+        if int(text) == 0:
+            return web.json_response(admin_views.revision(None))
+        record = history.at(int(text))
+        if record is None:
+            failure = Failure(
+                ResultCode.CONFIGURATION_UNAVAILABLE, f"revision {text} is not held"
+            )
+            return refuse(failure, status=404)
+        return web.json_response(admin_views.revision(record))
+
+    async def get_status(self, _request: web.Request) -> web.Response:
+        """Return leaders, revision and hosts."""
+        return web.json_response(admin_views.status(self.control))
+
+    async def get_owners(self, request: web.Request) -> web.Response:
+        """Return the owners of all slots, or of one service."""
+        return self.from_cell(
+            lambda: admin_views.owners(self.control, request.query.get("service"))
+        )
+
+    async def get_upstreams(self, _request: web.Request) -> web.Response:
+        """Return all upstreams of the cell."""
+        return self.from_cell(lambda: admin_views.upstreams(self.control))
+
+    async def get_suspects(self, _request: web.Request) -> web.Response:
+        """Return requests that are suspected or convicted of crashes."""
+        return self.from_cell(lambda: admin_views.suspects(self.control, time.time()))
+
+    async def get_explain(self, request: web.Request) -> web.Response:
+        """Return who owns a key, since when and why."""
+        service = request.query.get("service", "")
+        key = request.query.get("key", "")
+        if service not in self.control.cell.tables:
+            failure = Failure(ResultCode.UNKNOWN_SERVICE, f"no service {service!r}")
+            return refuse(failure)
+        return self.from_cell(lambda: admin_views.explain(self.control, service, key))
+
+    async def get_audit(self, request: web.Request) -> web.Response:
+        """Return the newest entries of the audit trail of a group."""
+        text = request.query.get("limit", str(DEFAULT_AUDIT_LIMIT))
+        group = GroupId(request.query.get("group", CONFIGURATION_GROUP))
+        if not text.isdecimal() or not 1 <= int(text) <= MAX_AUDIT_LIMIT:
+            message = f"limit must be from 1 to {MAX_AUDIT_LIMIT}"
+            return refuse(Failure(ResultCode.BAD_REQUEST, message))
+        if group not in self.control.groups:
+            return refuse(Failure(ResultCode.BAD_REQUEST, f"no group {group!r}"))
+        if not self.control.groups[group].is_current_leader():
+            return self.refuse_for(group, not_leader())
+        return web.json_response(admin_views.audit(self.control, group, int(text)))
+
+    async def get_voters(self, request: web.Request) -> web.Response:
+        """Return the members of all groups, or of one."""
+        return web.json_response(
+            admin_views.voters(self.control, request.query.get("group"))
+        )
+
+    async def post_voters(self, request: web.Request) -> web.Response:
+        """Add or remove a voter of a group."""
+        group = GroupId(request.query.get("group", CONFIGURATION_GROUP))
+        body = await read_json(request)
+        if isinstance(body, Err):
+            return refuse(body.err_value)
+        kind = VOTER_ACTIONS.get(str(body.ok_value.get("action")))
+        replica = body.ok_value.get("replica")
+        if kind is None or not isinstance(replica, str):
+            message = "action must be add or remove, and replica a name"
+            return refuse(Failure(ResultCode.BAD_REQUEST, message))
+        if group not in self.control.groups:
+            return refuse(Failure(ResultCode.BAD_REQUEST, f"no group {group!r}"))
+        changed = await self.control.groups[group].change_voters(
+            VoterChange(kind, ReplicaId(replica)), PROPOSAL_TIMEOUT_S
+        )
+        if isinstance(changed, Err):
+            return self.refuse_for(group, changed.err_value)
+        return web.json_response(
+            {
+                "code": 0,
+                "message": f"{body.ok_value['action']} {replica}: committed",
+                "group": group,
+                "voters": list(changed.ok_value.voters),
+            }
+        )
+
+    async def post_upstream(self, request: web.Request) -> web.Response:
+        """Admit, drain or remove an upstream."""
+        upstream = UpstreamId(request.match_info["id"])
+        command = UPSTREAM_COMMANDS[request.match_info["action"]]
+        actor = await read_actor(request)
+        if isinstance(actor, Err):
+            return refuse(actor.err_value)
+        failure = await self.commit(command(upstream, actor.ok_value, time.time()))
+        if failure is not None:
+            return self.refuse_for(self.control.cell_name, failure)
+        state = self.control.cell.upstreams[upstream].state.name.lower()
+        message = f"{upstream} is {state}"
+        return web.json_response(
+            {"code": 0, "message": message, "upstream": upstream, "state": state}
+        )
+
+    async def post_release(self, request: web.Request) -> web.Response:
+        """Release a convicted request."""
+        text = request.match_info["digest"]
+        actor = await read_actor(request)
+        if isinstance(actor, Err):
+            return refuse(actor.err_value)
+        try:
+            digest = bytes.fromhex(text)
+        except ValueError:
+            return refuse(Failure(ResultCode.BAD_REQUEST, f"{text!r} is no digest"))
+        command = ReleaseSuspect(digest, actor.ok_value, time.time())
+        failure = await self.commit(command)
+        if failure is not None:
+            return self.refuse_for(self.control.cell_name, failure)
+        return web.json_response({"code": 0, "message": "released", "digest": text})
+
+    async def commit(self, command: Command) -> Failure | None:
+        """Commit a command of an operator in the cell's log."""
+        group = self.control.groups[self.control.cell_name]
+        reply = await group.propose(encode_command(command), PROPOSAL_TIMEOUT_S)
+        if isinstance(reply, Err):
+            return reply.err_value
+        decoded = decode_reply(reply.ok_value)
+        if isinstance(decoded, Err):
+            return decoded.err_value
+        if decoded.ok_value.code:
+            code = ResultCode(decoded.ok_value.code)
+            return Failure(code, decoded.ok_value.message)
+        return None
+
+    def from_cell(self, view: Callable[[], Body]) -> web.Response:
+        """Answer a read of the cell, which only its current leader may do."""
+        group = self.control.groups[self.control.cell_name]
+        if not group.is_current_leader():
+            return self.refuse_for(self.control.cell_name, not_leader())
+        return web.json_response(view())
+
+    def refuse_for(self, group: GroupId, failure: Failure) -> web.Response:
+        """Refuse, and name the admin address of the leader where it helps."""
+        if failure.code != ResultCode.NOT_LEADER:
+            return refuse(failure)
+        leader = self.control.groups[group].leader
+        return web.json_response(
+            {
+                "code": int(failure.code),
+                "message": failure.message,
+                "leader": admin_views.admin_address(self.control, leader),
+            },
+            status=HTTP_STATUS[ResultCode.NOT_LEADER],
+        )
+
+
+def not_leader() -> Failure:
+    """Return the failure of a read at a replica that may be behind."""
+    return Failure(ResultCode.NOT_LEADER, "this control host does not lead the group")
+
+
+def refuse(failure: Failure, status: int | None = None) -> web.Response:
+    """Return the refusal as JSON."""
+    return web.json_response(
+        {"code": int(failure.code), "message": failure.message},
+        status=status or HTTP_STATUS.get(failure.code, 503),
+    )
+
+
+def change_answer(reply: ChangeReply) -> web.Response:
+    """Return the answer to a change of the configuration."""
+    body: Body = {
+        "code": int(reply.code),
+        "message": reply.message,
+        "change_id": reply.change_id,
+        "revision": reply.revision,
+    }
+    if reply.code:
+        winner = {"change_id": reply.winner_id, "author": reply.winner_author}
+        body["winner"] = winner if reply.winner_id else None
+    return web.json_response(body, status=HTTP_STATUS.get(reply.code, 503))
+
+
+async def read_json(request: web.Request) -> Result[Body, Failure]:
+    """Return the JSON object in the body of a request."""
+    body = await read_body(request, MAX_BODY_BYTES, BODY_TIMEOUT_S)
+    if isinstance(body, Err):
+        return body
+    try:
+        return Ok(msgspec.json.decode(body.ok_value, type=dict[str, object]))
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return Err(Failure(ResultCode.BAD_REQUEST, str(error)))
+
+
+async def read_actor(request: web.Request) -> Result[str, Failure]:
+    """Return the operator that a request names."""
+    body = await read_json(request)
+    if isinstance(body, Err):
+        return body
+    actor = body.ok_value.get("actor")
+    if not isinstance(actor, str) or not 0 < len(actor) <= 128:
+        return Err(Failure(ResultCode.BAD_REQUEST, "actor has 1 to 128 characters"))
+    return Ok(actor)
--- /dev/null
+++ b/src/sassafraswharf/control/admin_views.py
@@ -0,0 +1,344 @@
+"""What the admin API shows, as JSON objects."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+from typing import Final
+
+import msgspec
+
+from sassafraswharf.consensus.voters import host_name
+from sassafraswharf.control.control_part import CONFIGURATION_GROUP
+from sassafraswharf.identifiers import ServiceName
+from sassafraswharf.membership.values import SessionState
+
+
+if TYPE_CHECKING:
+    from sassafraswharf.configuration.history import RevisionRecord
+    from sassafraswharf.consensus.group_task import GroupTask
+    from sassafraswharf.control.control_part import ControlPart
+    from sassafraswharf.identifiers import GroupId
+    from sassafraswharf.identifiers import ReplicaId
+    from sassafraswharf.identifiers import SessionId
+    from sassafraswharf.membership.values import Session
+    from sassafraswharf.ownership.values import SlotRun
+
+    Json = dict[str, object]
+
+
+HEARD_S: Final = 3.0
+"""A control host that was not heard for this long is not shown as live."""
+
+
+def admin_address(control: ControlPart, leader: ReplicaId | None) -> str | None:
+    """Return the admin address of the host of a replica."""
+    if leader is None:
+        return None
+    host = control.hosts.get(host_name(leader))
+    return None if host is None else f"{host['address']}:{host['admin_port']}"
+
+
+def revision(record: RevisionRecord | None) -> Json:
+    """Return a configuration; revision 0 is the state before the first change."""
+    if record is None:
+        return {
+            "revision": 0,
+            "change_id": None,
+            "author": None,
+            "submitted_at": None,
+            "document": None,
+        }
+    return {
+        "revision": record.revision,
+        "change_id": record.change_id,
+        "author": record.author,
+        "submitted_at": record.submitted_at,
+        "document": msgspec.json.decode(record.document),
+    }
+
+
+def status(control: ControlPart) -> Json:
+    """Return leaders, revision and hosts."""
+    configuration = control.groups[CONFIGURATION_GROUP]
+    cell = control.groups[control.cell_name]
+    return {
+        "deployment": control.settings["deployment"],
+        "host": control.settings["host"],
+        "revision": control.configuration.revision,
+        "configuration_leader": admin_address(control, configuration.leader),
+        "cells": [
+            {
+                "cell": control.cell_name,
+                "leader": admin_address(control, cell.leader),
+                "table_version": control.cell.version,
+            }
+        ],
+        "hosts": hosts(control),
+        "measures": measures(control),
+    }
+
+
+def measures(control: ControlPart) -> Json:
+    """Return the totals from which the users' measures are computed."""
+    counters = control.cell.counters
+    return {
+        "unavailable_slot_s": counters.unavailable_slot_s,
+        "closing_slot_s": counters.closing_slot_s,
+        "slots_moved": counters.slots_moved,
+        "slots_returned": counters.slots_returned,
+        "imbalance": control.imbalance(),
+    }
+
+
+def hosts(control: ControlPart) -> list[Json]:
+    """Return this host, and all hosts of the cell if this host leads it."""
+    own = {
+        "host": control.settings["host"],
+        "cell": control.cell_name,
+        "zone": control.settings["zone"],
+        "parts": ["control"],
+        "live": True,
+        "session": None,
+        "revision": control.configuration.revision,
+        "table_version": control.cell.version,
+        "lease_remaining_s": None,
+        "upstreams": 0,
+    }
+    found: dict[str, Json] = {str(own["host"]): own}
+    if control.groups[control.cell_name].is_current_leader():
+        for session in control.cell.sessions.values():
+            if session.state == SessionState.OPEN:
+                found[session.host] = router_host(control, session)
+    return list(found.values())
+
+
+def router_host(control: ControlPart, session: Session) -> Json:
+    """Return a host with a router part, as its session reports it."""
+    report = control.desk.reports.get(session.session)
+    remaining_s = control.desk.lease_remaining_s(session.session)
+    parts = ["router"]
+    if session.host in control.hosts:
+        parts.append("control")
+    return {
+        "host": session.host,
+        "cell": control.cell_name,
+        "zone": session.zone,
+        "parts": parts,
+        "live": bool(remaining_s),
+        "session": session.session,
+        "revision": 0 if report is None else report.configuration_revision,
+        "table_version": 0 if report is None else report.table_version,
+        "lease_remaining_s": remaining_s,
+        "upstreams": sum(
+            upstream.session == session.session
+            for upstream in control.cell.upstreams.values()
+        ),
+    }
+
+
+def host_of(control: ControlPart, session: SessionId) -> str | None:
+    """Return the host of a session that is still known."""
+    known = control.cell.sessions.get(session)
+    return None if known is None else known.host
+
+
+def run(control: ControlPart, item: SlotRun) -> Json:
+    """Return a run of slots with its owner."""
+    return {
+        "start": item.start,
+        "length": item.length,
+        "upstream": item.upstream,
+        "host": None if item.upstream is None else host_of(control, item.session),
+        "session": item.session,
+        "epoch": item.epoch,
+        "closing": item.closing,
+        "sources": list(item.sources),
+    }
+
+
+def owners(control: ControlPart, service: str | None) -> Json:
+    """Return the owners of all slots, or of one service."""
+    tables = [
+        table
+        for name, table in control.cell.tables.items()
+        if service is None or name == service
+    ]
+    return {
+        "cell": control.cell_name,
+        "version": control.cell.version,
+        "services": [
+            {
+                "service": table.service,
+                "slot_count": table.slot_count,
+                "runs": [run(control, item) for item in table.runs()],
+            }
+            for table in tables
+        ],
+    }
+
+
+def upstreams(control: ControlPart) -> Json:
+    """Return all upstreams of the cell."""
+    owned: Counter[str] = Counter()
+    for table in control.cell.tables.values():
+        for holding, slots in table.holdings():
+            if holding.upstream is not None:
+                owned[holding.upstream] += slots
+    rows = []
+    for item in control.cell.upstreams.values():
+        session = control.cell.sessions.get(item.session)
+        rows.append(
+            {
+                "upstream": item.upstream,
+                "host": item.host,
+                "zone": None if session is None else session.zone,
+                "service": item.service,
+                "address": item.address,
+                "state": item.state.name.lower(),
+                "slots": item.slots,
+                "connections": item.connections,
+                "checks_grants": item.checks_grants,
+                "speed": item.speed,
+                "incarnation": item.incarnation,
+                "owned_slots": owned[item.upstream],
+            }
+        )
+    return {"cell": control.cell_name, "upstreams": rows}
+
+
+def suspects(control: ControlPart, now: float) -> Json:
+    """Return requests that are suspected or convicted; ``now`` is Unix time."""
+    rows = []
+    for item in control.cell.suspects.suspects.values():
+        convicted = item.convicted_until > 0
+        rows.append(
+            {
+                "digest": item.digest.hex(),
+                "state": "convicted" if convicted else "suspect",
+                "crashes": item.crashes,
+                "expires_in_s": max(0.0, item.convicted_until - now)
+                if convicted
+                else None,
+            }
+        )
+    return {"cell": control.cell_name, "suspects": rows}
+
+
+def explain(control: ControlPart, service: str, key: str) -> Json:
+    """Return who owns a key, since when and why."""
+    table = control.cell.tables[ServiceName(service)]
+    owner = table.owner_of(key)
+    upstream = control.cell.upstreams.get(owner.upstream) if owner.upstream else None
+    live = owner.upstream is not None and bool(
+        control.desk.lease_remaining_s(owner.session)
+    )
+    return {
+        "service": service,
+        "key": key,
+        "slot": owner.slot,
+        "version": control.cell.version,
+        "upstream": owner.upstream,
+        "host": None if owner.upstream is None else host_of(control, owner.session),
+        "address": None if upstream is None else upstream.address,
+        "session": owner.session,
+        "epoch": owner.epoch,
+        "closing": owner.closing,
+        "sources": list(owner.sources),
+        "live": live,
+        "reason": reason(control, owner.upstream, owner.slot, closing=owner.closing),
+        "last_change": last_change(control, owner.epoch),
+    }
+
+
+def reason(
+    control: ControlPart, upstream: str | None, slot: int, *, closing: bool
+) -> str:
+    """Return one sentence on the owner of a slot."""
+    if upstream is None:
+        return f"nobody owns slot {slot}: no upstream of the service is available"
+    if closing:
+        return f"slot {slot} is being moved away from {upstream}"
+    return f"{upstream} owns slot {slot} in {control.cell_name}"
+
+
+def last_change(control: ControlPart, epoch: int) -> Json | None:
+    """Return the audit entry of the command that made the present epoch."""
+    for entry in control.cell.trail.entries:
+        if entry.revision == epoch:
+            return {"at": entry.at, "action": entry.action, "subject": entry.subject}
+    return None
+
+
+def audit(control: ControlPart, group: GroupId, limit: int) -> Json:
+    """Return the newest entries of the audit trail of a group, newest last."""
+    if group == CONFIGURATION_GROUP:
+        trail = control.configuration.audit
+        rows = [
+            {
+                "index": entry.log_index,
+                "at": entry.at,
+                "actor": entry.actor,
+                "action": entry.action,
+                "subject": entry.subject,
+                "detail": entry.detail,
+                "revision": entry.revision,
+                "code": int(entry.code),
+            }
+            for entry in trail.newest(limit)
+        ]
+        return {"group": group, "dropped": trail.dropped, "entries": rows}
+    rows = [
+        {
+            "index": item.revision,
+            "at": item.at,
+            "actor": item.actor,
+            "action": item.action,
+            "subject": item.subject,
+            "detail": "",
+            "revision": item.revision,
+            "code": item.code,
+        }
+        for item in reversed(control.cell.trail.newest(limit))
+    ]
+    return {"group": group, "dropped": 0, "entries": rows}
+
+
+def voters(control: ControlPart, wanted: str | None) -> Json:
+    """Return the members of the groups of this host."""
+    return {
+        "groups": [
+            members(name, group)
+            for name, group in control.groups.items()
+            if wanted is None or name == wanted
+        ]
+    }
+
+
+def members(name: GroupId, group: GroupTask) -> Json:
+    """Return the members of one group, as far as this replica knows."""
+    replica = group.replica
+    now = group.clock.now()
+    rows = []
+    for member in group.voters.members:
+        progress = replica.progress.get(member) if replica is not None else None
+        is_own = member == group.identity
+        match_index = group.applied_index if is_own else None
+        if progress is not None:
+            match_index = progress.match_index
+        rows.append(
+            {
+                "replica": member,
+                "role": "voter" if member in group.voters.voters else "learner",
+                "match_index": match_index,
+                "live": is_own
+                or (progress is not None and now - progress.contact_at < HEARD_S),
+            }
+        )
+    return {
+        "group": name,
+        "leader": group.leader,
+        "term": group.term,
+        "commit_index": 0 if replica is None else replica.commit_index,
+        "members": rows,
+    }
--- /dev/null
+++ b/src/sassafraswharf/daemon/__init__.py
@@ -0,0 +1,3 @@
+"""The daemon: settings to running parts."""
+
+from __future__ import annotations
--- a/src/sassafraswharf/observability/json_log.py
+++ b/src/sassafraswharf/observability/json_log.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from absl import flags
 from absl import logging
 
 
@@ -53,6 +54,8 @@
 
 def configure_logging(host: str, level: str) -> None:
     """Send all log records of the process to standard error as JSON lines."""
+    # The daemon has no absl flags; parsing none of them ends absl's start-up mode.
+    flags.FLAGS([host])
     logging.use_absl_handler()
     logging.get_absl_handler().setFormatter(JsonFormatter(host))
     logging.set_verbosity(VERBOSITY[level])
--- a/src/sassafraswharf/requests/classification.py
+++ b/src/sassafraswharf/requests/classification.py
@@ -8,10 +8,7 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
-from typing import Literal
 from typing import NamedTuple
-from typing import NotRequired
-from typing import TypedDict
 from urllib.parse import unquote
 from urllib.parse import unquote_plus
 
@@ -31,37 +28,8 @@
 
     from multidict import MultiMapping
 
-
-Repetition = Literal["repeatable", "at_most_once"]
-
-KeyDocument = TypedDict(
-    "KeyDocument",
-    {
-        "from": Literal["path", "header", "query"],
-        "segment": NotRequired[int],
-        "name": NotRequired[str],
-    },
-)
-"""Where the key is found; path segments are counted from 0 after the prefix."""
-
-
-class ServiceDocument(TypedDict):
-    """A service as operators declare it.
-
-    ``operations`` maps a method and a path pattern below the prefix to its
-    repetition, for example ``{"GET /items/{item}": "repeatable"}``. ``{name}``
-    matches one segment and a final ``*`` matches one or more.
-    """
-
-    name: str
-    prefix: str
-    key: KeyDocument | None
-    slot_count: int
-    operations: Mapping[str, Repetition]
-    deadline_s: float
-    max_body_bytes: int
-    admit: Literal["any", "operator"]
-    calls: Sequence[str]
+    from sassafraswharf.configuration.documents import KeyRule
+    from sassafraswharf.configuration.documents import ServiceDocument
 
 
 class Classification(NamedTuple):
@@ -99,7 +67,7 @@
         node = self
         target = self.operations
         for segment in pattern:
-            if segment == "*":
+            if segment == "**":
                 target = node.rest
                 break
             node = node.child(segment)
@@ -111,7 +79,7 @@
 
     def child(self, segment: str) -> PatternNode:
         """Return the node below a pattern segment, created if necessary."""
-        if not segment.startswith("{"):
+        if segment != "*":
             return self.literals.setdefault(segment, PatternNode())
         if self.any_segment is None:
             self.any_segment = PatternNode()
@@ -206,13 +174,13 @@
         if prefix is None or prefix in compiled:
             return _invalid(f"prefix {document['prefix']!r} can't be used")
         patterns = PatternNode()
-        for text, repetition in document["operations"].items():
-            method, separator, path = text.partition(" ")
-            pattern = path_segments(path)
-            operation = Operation(text, repetition == "repeatable")
-            if not separator or pattern is None or "*" in pattern[:-1]:
-                return _invalid(f"operation {text!r} is not 'METHOD /pattern'")
-            if not patterns.add(method, pattern, operation):
+        for declared in document["operations"]:
+            text = f"{declared['method']} {declared['path']}"
+            pattern = path_segments(declared["path"])
+            if pattern is None or "**" in pattern[:-1]:
+                return _invalid(f"operation {text!r} has an unusable path")
+            operation = Operation(text, declared["run"] == "repeatable")
+            if not patterns.add(declared["method"], pattern, operation):
                 return _invalid(f"operation {text!r} repeats another one")
         compiled[prefix] = CompiledService(document, prefix, patterns)
     return Ok(RequestMatcher(compiled.values()))
@@ -261,7 +229,7 @@
 
 
 def _keys(
-    source: KeyDocument | None,
+    source: KeyRule | None,
     segments: Sequence[str],
     query: str,
     headers: MultiMapping[str],
--- /dev/null
+++ b/src/sassafraswharf/router/announcement.py
@@ -0,0 +1,53 @@
+"""The announcement that an upstream sends to the router beside it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Annotated
+from typing import TypedDict
+
+import msgspec
+
+from result import Err
+from result import Ok
+
+from sassafraswharf.codes import ResultCode
+from sassafraswharf.failure import Failure
+
+
+if TYPE_CHECKING:
+    from result import Result
+
+
+Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9._-]*\Z", max_length=63)]
+Address = Annotated[
+    str, msgspec.Meta(pattern=r"^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}\Z", max_length=64)
+]
+MAX_ANNOUNCEMENT_BYTES = 4_096
+
+
+class Announcement(TypedDict):
+    """What an upstream tells about itself.
+
+    ``slots`` is how many requests it works on at a time. ``speed`` is relative
+    to other upstreams; the system measures the real one. ``checks_grants``
+    tells whether it refuses requests of an older epoch. ``incarnation`` must
+    grow with each start of its process, for example the start time.
+    """
+
+    upstream: Name
+    service: Name
+    address: Address
+    slots: Annotated[int, msgspec.Meta(ge=1, le=10_000)]
+    connections: Annotated[int, msgspec.Meta(ge=1, le=100_000)]
+    checks_grants: bool
+    incarnation: Annotated[int, msgspec.Meta(ge=1, le=2**63 - 1)]
+    speed: Annotated[float, msgspec.Meta(gt=0, le=1_000_000)]
+
+
+def read_announcement(body: bytes) -> Result[Announcement, Failure]:
+    """Return the announcement, or 3001 with the field that is wrong."""
+    try:
+        return Ok(msgspec.json.decode(body, type=Announcement))
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return Err(Failure(ResultCode.BAD_REQUEST, f"announcement: {error}"))
--- /dev/null
+++ b/src/sassafraswharf/router/control_link.py
@@ -0,0 +1,337 @@
+"""The router's connection to the control hosts of its cell."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from typing import TYPE_CHECKING
+from typing import Final
+
+from absl import logging
+from result import Err
+from result import Ok
+
+from sassafraswharf.cell.codec import decode_reply
+from sassafraswharf.cell.codec import decode_value
+from sassafraswharf.cell.codec import encode_command
+from sassafraswharf.cell.commands import CloseSession
+from sassafraswharf.cell.commands import OpenSession
+from sassafraswharf.cell.commands import SessionOpened
+from sassafraswharf.cell.delta import CellDelta
+from sassafraswharf.codes import ResultCode
+from sassafraswharf.failure import Failure
+from sassafraswharf.leases.holder import NO_SESSION
+from sassafraswharf.leases.messages import LeaseAck
+from sassafraswharf.leases.messages import LeaseRefusal
+from sassafraswharf.transport import messages
+from sassafraswharf.transport.envelope import MessageKind
+from sassafraswharf.transport.mailbox import Peer
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from result import Result
+
+    from sassafraswharf.cell.commands import AnyReply
+    from sassafraswharf.cell.commands import Command
+    from sassafraswharf.clock import Clock
+    from sassafraswharf.leases.holder import LeaseHolder
+    from sassafraswharf.router.view import RouterView
+    from sassafraswharf.settings.schema import ControlHostSettings
+    from sassafraswharf.transport.datagrams import DatagramEndpoint
+    from sassafraswharf.transport.envelope import Envelope
+    from sassafraswharf.transport.mailbox import Mailbox
+
+
+TICK_S: Final = 0.05
+RENEWAL_ANSWER_S: Final = 0.1
+"""Without an answer for this long, renewals go to all control hosts."""
+PROPOSAL_TIMEOUT_S: Final = 0.5
+PULL_TIMEOUT_S: Final = 0.5
+CLOSE_TIMEOUT_S: Final = 1.0
+RETRY_PAUSE_S: Final = 0.05
+CONFIGURATION_GROUP: Final = "configuration"
+
+
+class ControlLink:
+    """Keeps session, lease, table and configuration up to date.
+
+    It owns the lease holder and writes the view; other tasks only read them.
+    """
+
+    def __init__(
+        self,
+        opening: OpenSession,
+        cell: str,
+        control_hosts: list[ControlHostSettings],
+        holder: LeaseHolder,
+        view: RouterView,
+        mailbox: Mailbox,
+        datagrams: DatagramEndpoint,
+        clock: Clock,
+        load: Callable[[], bytes],
+    ) -> None:
+        """Prepare the link; ``load`` is read for each renewal."""
+        self.opening = opening
+        self.cell = cell
+        self.control_hosts = {host["name"]: host for host in control_hosts}
+        self.leader = next(iter(self.control_hosts))
+        self.holder = holder
+        self.view = view
+        self.mailbox = mailbox
+        self.datagrams = datagrams
+        self.clock = clock
+        self.load = load
+        self.newest_version = 0
+        self.newest_revision = 0
+        self.answered_at = 0.0
+        self.pull_due = asyncio.Event()
+        self.session_due = asyncio.Event()
+        self.tasks: list[asyncio.Task[None]] = []
+        self.closing = False
+
+    def start(self) -> None:
+        """Start to open a session, renew the lease and pull changes."""
+        self.session_due.set()
+        loops = (self.keep_session(), self.renew(), self.pull_changes())
+        self.tasks = [asyncio.create_task(loop) for loop in loops]
+
+    async def stop(self) -> None:
+        """Release the lease, so that nothing waits for its end, and stop."""
+        self.closing = True
+        session = self.holder.session
+        if session != NO_SESSION:
+            self.holder.close()
+            command = CloseSession(session, "shutdown", time.time())
+            await self.propose(command, CLOSE_TIMEOUT_S)
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    def refresh(self) -> None:
+        """Pull the table now, because a peer seems to know a newer one."""
+        self.pull_due.set()
+
+    async def propose(
+        self, command: Command, timeout_s: float = 5.0
+    ) -> Result[AnyReply, Failure]:
+        """Commit a command in the cell's log, following the leader.
+
+        Commands are idempotent, so an attempt whose answer was lost is
+        repeated until ``timeout_s`` has passed (code 5002).
+        """
+        body = messages.encode(messages.Proposal(self.cell, encode_command(command)))
+        give_up_at = self.clock.now() + timeout_s
+        while self.clock.now() < give_up_at:
+            reply = await self.ask_leader(body)
+            if isinstance(reply, Ok):
+                return reply
+            await asyncio.sleep(RETRY_PAUSE_S)
+        name = type(command).__name__
+        return Err(
+            Failure(ResultCode.PROPOSAL_TIMEOUT, f"{name}: no leader for {timeout_s} s")
+        )
+
+    async def ask_leader(self, body: bytes) -> Result[AnyReply, Failure]:
+        """Send a proposal to the supposed leader and learn who it is."""
+        peer = self.peer(self.leader)
+        answer = await self.mailbox.request(
+            peer, MessageKind.PROPOSAL, body, PROPOSAL_TIMEOUT_S
+        )
+        if isinstance(answer, Err):
+            self.try_next_host()
+            return answer
+        decoded = messages.decode(answer.ok_value, messages.ProposalReply)
+        if isinstance(decoded, Err):
+            return decoded
+        reply = decoded.ok_value
+        if reply.code:
+            self.follow(reply.leader)
+            return Err(Failure(ResultCode(reply.code), reply.message))
+        return decode_reply(reply.reply)
+
+    def follow(self, leader: str) -> None:
+        """Address the named leader from now on, or the next host without one."""
+        name = leader.partition(":")[0]
+        if name in self.control_hosts and name != self.leader:
+            self.leader = name
+        else:
+            self.try_next_host()
+
+    def try_next_host(self) -> None:
+        """Address the next control host from now on."""
+        names = list(self.control_hosts)
+        self.leader = names[(names.index(self.leader) + 1) % len(names)]
+
+    def peer(self, name: str) -> Peer:
+        """Return the control address of a control host."""
+        host = self.control_hosts[name]
+        return Peer(name, f"{host['address']}:{host['control_port']}")
+
+    async def keep_session(self) -> None:
+        """Open a session whenever there is none."""
+        while True:
+            await self.session_due.wait()
+            self.session_due.clear()
+            while self.holder.session == NO_SESSION and not self.closing:
+                await self.open_session()
+
+    async def open_session(self) -> None:
+        """Try once to open a session."""
+        sent_at = self.clock.now()
+        # A new incarnation makes a session that was closed meanwhile end for good.
+        opening = self.opening._replace(incarnation=time.time_ns(), at=time.time())
+        reply = await self.propose(opening)
+        if isinstance(reply, Err):
+            logging.warning("can't open a session: %s", reply.err_value)
+            return
+        opened = reply.ok_value
+        if not isinstance(opened, SessionOpened) or opened.code:
+            logging.warning("session refused: %s", opened.message)
+            await asyncio.sleep(RETRY_PAUSE_S)
+            return
+        self.holder.open(opened.session, sent_at)
+        self.refresh()
+        logging.info("session %d opened", opened.session)
+
+    async def renew(self) -> None:
+        """Send lease renewals as they become due."""
+        while True:
+            now = self.clock.now()
+            self.holder.configuration_revision = self.view.revision
+            self.holder.table_version = self.view.version
+            self.holder.load = self.load()
+            renewal = self.holder.next_renewal(now)
+            if renewal is not None:
+                self.send_renewal(messages.encode(renewal), now)
+            if self.holder.session == NO_SESSION and not self.closing:
+                self.session_due.set()
+            await asyncio.sleep(TICK_S)
+
+    def send_renewal(self, body: bytes, now: float) -> None:
+        """Send a renewal to the leader, or to all while it does not answer."""
+        waiting_s = self.holder.timing.renew_every_s + RENEWAL_ANSWER_S
+        silent = now - self.answered_at > waiting_s
+        names = list(self.control_hosts) if silent else [self.leader]
+        for name in names:
+            host = self.control_hosts[name]
+            self.datagrams.send(
+                (host["address"], host["lease_port"]),
+                name,
+                MessageKind.LEASE_RENEWAL,
+                body,
+            )
+
+    def on_datagram(self, envelope: Envelope) -> None:
+        """Take acknowledgements, refusals and hints of the control hosts."""
+        if envelope.kind == MessageKind.LEASE_ACK:
+            ack = messages.decode(envelope.body, LeaseAck)
+            if isinstance(ack, Ok):
+                self.on_ack(envelope.sender, ack.ok_value)
+        elif envelope.kind == MessageKind.LEASE_REFUSAL:
+            refusal = messages.decode(envelope.body, LeaseRefusal)
+            if isinstance(refusal, Ok):
+                self.on_refusal(refusal.ok_value)
+        elif envelope.kind == MessageKind.TABLE_CHANGED:
+            hint = messages.decode(envelope.body, messages.TableChanged)
+            if isinstance(hint, Ok) and hint.ok_value.cell == self.cell:
+                self.note_newest(hint.ok_value.table_version, 0)
+
+    def on_ack(self, sender: str, ack: LeaseAck) -> None:
+        """Extend the lease and note what is newer than the own copies."""
+        now = self.clock.now()
+        self.answered_at = now
+        self.leader = sender if sender in self.control_hosts else self.leader
+        was_valid = self.holder.is_valid(now)
+        self.holder.on_ack(ack, now)
+        if not was_valid and self.holder.is_valid(now):
+            self.view.changed.notify()
+        self.note_newest(ack.table_version, ack.configuration_revision)
+
+    def on_refusal(self, refusal: LeaseRefusal) -> None:
+        """Follow the leader, or open a new session when this one is closed."""
+        had_session = self.holder.session != NO_SESSION
+        self.holder.on_refusal(refusal, self.clock.now())
+        if had_session and self.holder.session == NO_SESSION:
+            logging.warning("session %d was closed by the cell", refusal.session)
+            if not self.closing:
+                self.session_due.set()
+        if refusal.leader_hint is not None:
+            name = str(refusal.leader_hint).partition(":")[0]
+            self.leader = name if name in self.control_hosts else self.leader
+
+    def note_newest(self, table_version: int, revision: int) -> None:
+        """Wake the pulling task when something newer exists."""
+        self.newest_version = max(self.newest_version, table_version)
+        self.newest_revision = max(self.newest_revision, revision)
+        if self.is_behind():
+            self.pull_due.set()
+
+    def is_behind(self) -> bool:
+        """Return whether the table or the configuration is known to be old."""
+        return (
+            self.view.version < self.newest_version
+            or self.view.revision < self.newest_revision
+        )
+
+    async def pull_changes(self) -> None:
+        """Pull the configuration and the table whenever they are behind."""
+        source = self.leader
+        while True:
+            await self.pull_due.wait()
+            self.pull_due.clear()
+            pulled = await self.pull(source)
+            if pulled:
+                source = self.leader
+                continue
+            names = list(self.control_hosts)
+            source = names[(names.index(source) + 1) % len(names)]
+            await asyncio.sleep(RETRY_PAUSE_S)
+            self.pull_due.set()
+
+    async def pull(self, source: str) -> bool:
+        """Pull once; return whether the control host answered."""
+        peer = self.peer(source)
+        if self.view.revision < max(self.newest_revision, 1):
+            body = messages.encode(messages.ConfigurationPull(self.view.revision))
+            answer = await self.mailbox.request(
+                peer, MessageKind.CONFIGURATION_PULL, body, PULL_TIMEOUT_S
+            )
+            if isinstance(answer, Err):
+                return False
+            self.take_configuration(answer.ok_value)
+        body = messages.encode(messages.CellPull(self.cell, self.view.version))
+        answer = await self.mailbox.request(
+            peer, MessageKind.CELL_PULL, body, PULL_TIMEOUT_S
+        )
+        if isinstance(answer, Err):
+            return False
+        self.take_delta(answer.ok_value)
+        return True
+
+    def take_configuration(self, body: bytes) -> None:
+        """Use a pulled configuration if it is newer."""
+        decoded = messages.decode(body, messages.ConfigurationPullReply)
+        if isinstance(decoded, Err) or not decoded.ok_value.document:
+            return
+        reply = decoded.ok_value
+        accepted = self.view.accept_configuration(reply.revision, reply.document)
+        if isinstance(accepted, Err):
+            logging.error("configuration %d: %s", reply.revision, accepted.err_value)
+        elif accepted.ok_value:
+            logging.info("configuration %d is in force", reply.revision)
+
+    def take_delta(self, body: bytes) -> None:
+        """Apply a pulled delta."""
+        decoded = messages.decode(body, messages.CellPullReply)
+        if isinstance(decoded, Err) or not decoded.ok_value.delta:
+            return
+        delta = decode_value(decoded.ok_value.delta, CellDelta)
+        if isinstance(delta, Err):
+            logging.error("cell delta: %s", delta.err_value)
+            return
+        applied = self.view.apply(delta.ok_value)
+        if isinstance(applied, Err):
+            logging.error("cell delta: %s", applied.err_value)
--- /dev/null
+++ b/src/sassafraswharf/router/http_exchange.py
@@ -0,0 +1,143 @@
+"""One HTTP exchange with an upstream or another router, and how it ended."""
+
+from __future__ import annotations
+
+import asyncio
+
+from typing import TYPE_CHECKING
+from typing import Final
+from typing import NamedTuple
+
+import aiohttp
+
+from multidict import CIMultiDict
+from yarl import URL
+
+from sassafraswharf.requests.outcome import Exchange
+from sassafraswharf.requests.outcome import exchange_of_answer
+from sassafraswharf.router import headers
+
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+
+KEEPALIVE_S: Final = 60.0
+NO_LIMIT: Final = 0
+
+
+class HttpAnswer(NamedTuple):
+    """The end of an exchange; the answer is empty unless it came whole."""
+
+    exchange: Exchange
+    status: int = 0
+    headers: CIMultiDict[str] = CIMultiDict()
+    body: bytes = b""
+
+
+class HttpPeer:
+    """Kept connections to one address.
+
+    aiohttp repeats GET, PUT and other methods by itself when a kept connection
+    turns out to be closed. That would run a declared at-most-once PUT twice and
+    let one crashing request take two processes down, so it is switched off.
+    """
+
+    def __init__(self, address: str, connections: int = NO_LIMIT) -> None:
+        """Connect on demand to ``address`` (``ip:port``), at most ``connections``."""
+        self.address = address
+        connector = aiohttp.TCPConnector(
+            limit=connections, keepalive_timeout=KEEPALIVE_S, use_dns_cache=False
+        )
+        self.session = aiohttp.ClientSession(
+            connector=connector,
+            auto_decompress=False,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            timeout=aiohttp.ClientTimeout(total=None),
+            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+            requote_redirect_url=False,
+        )
+        self.session._retry_connection = False
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.session.close()
+
+    async def send(
+        self,
+        method: str,
+        target: str,
+        fields: Mapping[str, str],
+        body: bytes,
+        timeout_s: float,
+        max_body_bytes: int,
+    ) -> HttpAnswer:
+        """Send a request and read the whole answer within ``timeout_s``."""
+        progress = SendProgress()
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self.exchange(
+                    method, target, fields, body, max_body_bytes, progress
+                )
+        except TimeoutError:
+            return HttpAnswer(progress.on_timeout())
+        except aiohttp.ClientConnectorError:
+            return HttpAnswer(Exchange.CONNECTION_REFUSED)
+        except aiohttp.ClientPayloadError:
+            return HttpAnswer(Exchange.CUT_SHORT)
+        except (aiohttp.ClientError, OSError):
+            return HttpAnswer(Exchange.CONNECTION_LOST)
+
+    async def exchange(
+        self,
+        method: str,
+        target: str,
+        fields: Mapping[str, str],
+        body: bytes,
+        max_body_bytes: int,
+        progress: SendProgress,
+    ) -> HttpAnswer:
+        """Run the exchange without mapping its errors."""
+        url = URL(f"http://{self.address}{target}", encoded=True)
+        async with self.session.request(
+            method,
+            url,
+            headers=fields,
+            data=body or None,
+            allow_redirects=False,
+        ) as response:
+            progress.answering = True
+            length = response.content_length or 0
+            if length > max_body_bytes:
+                return HttpAnswer(Exchange.TOO_LARGE)
+            answer = await read_limited(response, max_body_bytes)
+        if answer is None:
+            return HttpAnswer(Exchange.TOO_LARGE)
+        ended = exchange_of_answer(
+            response.status, headers.NOT_RUN in response.headers, complete=True
+        )
+        return HttpAnswer(ended, response.status, CIMultiDict(response.headers), answer)
+
+
+class SendProgress:
+    """How far an exchange has come, to tell what a timeout means."""
+
+    def __init__(self) -> None:
+        """Start before anything was sent."""
+        self.answering = False
+
+    def on_timeout(self) -> Exchange:
+        """Return how an exchange ended that timed out."""
+        return Exchange.CUT_SHORT if self.answering else Exchange.TIMED_OUT
+
+
+async def read_limited(response: aiohttp.ClientResponse, limit: int) -> bytes | None:
+    """Return the whole body, or None when it is longer than ``limit`` bytes."""
+    if response.content_length is not None:
+        return await response.read()
+    parts = bytearray()
+    async for part in response.content.iter_any():
+        parts += part
+        if len(parts) > limit:
+            return None
+    return bytes(parts)
--- /dev/null
+++ b/src/sassafraswharf/router/http_server.py
@@ -0,0 +1,181 @@
+"""The HTTP server for callers and for other routers."""
+
+from __future__ import annotations
+
+import asyncio
+
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import Final
+
+from aiohttp import web
+
+from sassafraswharf.codes import ResultCode
+from sassafraswharf.exceptions import TransportError
+from sassafraswharf.failure import Failure
+
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from aiohttp.http_parser import RawRequestMessage
+    from aiohttp.streams import StreamReader
+
+    Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
+KEEPALIVE_S: Final = 75.0
+MAX_LINE_BYTES: Final = 8_190
+BACKLOG: Final = 1_024
+
+
+class GuardedProtocol(web.RequestHandler):
+    """Closes a connection that sends the head of a request too slowly.
+
+    aiohttp bounds the time between requests but not the time a caller takes to
+    send its headers, so that few slow callers could hold many connections.
+    """
+
+    __slots__ = ("head_timeout_s", "head_timer")
+
+    head_timeout_s: float
+    head_timer: asyncio.TimerHandle | None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start the timer of the first request."""
+        super().connection_made(transport)
+        self.head_timer = None
+        self.start_head_timer()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Stop the timer."""
+        self.stop_head_timer()
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        """Start the timer when a new request begins on an idle connection."""
+        if self.head_timer is None and self._current_request is None:
+            self.start_head_timer()
+        super().data_received(data)
+
+    def start_head_timer(self) -> None:
+        """Close the connection unless a whole head arrives in time."""
+        loop = asyncio.get_running_loop()
+        self.head_timer = loop.call_later(self.head_timeout_s, self.force_close)
+
+    def stop_head_timer(self) -> None:
+        """Keep the connection: a whole head has arrived."""
+        if self.head_timer is not None:
+            self.head_timer.cancel()
+            self.head_timer = None
+
+
+class HttpServer(web.Server):
+    """A listening HTTP port with limits on heads and bodies.
+
+    A handler is cancelled when its caller closes the connection.
+    """
+
+    def __init__(
+        self,
+        handler: Handler,
+        *,
+        max_body_bytes: int,
+        max_header_bytes: int,
+        header_timeout_s: float,
+    ) -> None:
+        """Prepare a server that does not listen yet."""
+        super().__init__(
+            self.guard(handler),
+            request_factory=self.create_request,
+            handler_cancellation=True,
+            keepalive_timeout=KEEPALIVE_S,
+            max_line_size=MAX_LINE_BYTES,
+            max_field_size=max_header_bytes,
+            access_log=None,
+        )
+        self.max_body_bytes = max_body_bytes
+        self.header_timeout_s = header_timeout_s
+        self.server: asyncio.Server | None = None
+        self.active = 0
+        self.idle = asyncio.Event()
+        self.idle.set()
+
+    def __call__(self) -> web.RequestHandler:
+        """Create the protocol of a new connection."""
+        protocol = GuardedProtocol(self, loop=self._loop, **self._kwargs)
+        protocol.head_timeout_s = self.header_timeout_s
+        return protocol
+
+    def guard(self, handler: Handler) -> Handler:
+        """Return the handler with the accounting of active requests."""
+
+        async def guarded(request: web.BaseRequest) -> web.StreamResponse:
+            protocol = request.protocol
+            if isinstance(protocol, GuardedProtocol):
+                protocol.stop_head_timer()
+            self.active += 1
+            self.idle.clear()
+            try:
+                return await handler(request)
+            finally:
+                self.active -= 1
+                if not self.active:
+                    self.idle.set()
+
+        return guarded
+
+    def create_request(
+        self,
+        message: RawRequestMessage,
+        payload: StreamReader,
+        protocol: web.RequestHandler,
+        writer: Any,  # noqa: ANN401 - the type is private to aiohttp
+        task: asyncio.Task[None],
+    ) -> web.BaseRequest:
+        """Create a request whose body is limited."""
+        return web.BaseRequest(
+            message,
+            payload,
+            protocol,
+            writer,
+            task,
+            self._loop,
+            client_max_size=self.max_body_bytes,
+        )
+
+    async def start(self, address: str, port: int) -> int:
+        """Listen and return the port; raises ``TransportError`` when it can't."""
+        loop = asyncio.get_running_loop()
+        try:
+            self.server = await loop.create_server(self, address, port, backlog=BACKLOG)
+        except OSError as error:
+            raise TransportError(
+                Failure(
+                    ResultCode.PEER_UNREACHABLE,
+                    f"can't listen on {address}:{port}: {error}",
+                )
+            ) from error
+        return int(self.server.sockets[0].getsockname()[1])
+
+    async def stop_accepting(self) -> None:
+        """Close the listening socket and idle connections."""
+        if self.server is not None:
+            self.server.close()
+        self.pre_shutdown()
+
+    async def drain(self, timeout_s: float) -> bool:
+        """Wait until no request is active; return False after ``timeout_s``."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self.idle.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    async def stop(self) -> None:
+        """Close everything; requests that are still active are cut off."""
+        if self.server is not None:
+            self.server.close()
+        await self.shutdown(timeout=0.1)
--- /dev/null
+++ b/src/sassafraswharf/router/incoming.py
@@ -0,0 +1,129 @@
+"""Requests as the router works on them."""
+
+from __future__ import annotations
+
+import hmac
+
+from hashlib import blake2b
+from typing import TYPE_CHECKING
+from typing import Final
+from typing import NamedTuple
+
+from sassafraswharf.requests.urgency import RequestFacts
+
+
+if TYPE_CHECKING:
+    from multidict import CIMultiDictProxy
+
+    from sassafraswharf.requests.classification import Classification
+
+
+MAX_NESTED_DEPTH: Final = 8
+MAC_BYTES: Final = 8
+MAX_IDEMPOTENCY_KEY_CHARACTERS: Final = 200
+
+
+class Incoming(NamedTuple):
+    """A whole request from a caller or another router.
+
+    ``target`` is the raw path with the query. ``hop`` tells that another
+    router has forwarded the request, which is then never forwarded again.
+    """
+
+    request_id: int
+    method: str
+    target: str
+    headers: CIMultiDictProxy[str]
+    body: bytes
+    classification: Classification
+    idempotency_key: str | None
+    nested_depth: int
+    arrived_at: float
+    deadline_at: float
+    hop: bool
+
+    @property
+    def facts(self) -> RequestFacts:
+        """What admission needs to know."""
+        return RequestFacts(
+            self.classification.service,
+            self.classification.operation,
+            self.classification.repeatable,
+            self.nested_depth,
+            self.deadline_at,
+            self.routing_key,
+            self.arrived_at,
+        )
+
+    @property
+    def routing_key(self) -> str | None:
+        """The key that decides the owner.
+
+        In a service without a key an at-most-once request is routed by its
+        idempotency key, so that all resends meet at one owner.
+        """
+        if self.classification.key is not None:
+            return self.classification.key
+        return None if self.classification.repeatable else self.idempotency_key
+
+    @property
+    def is_journaled(self) -> bool:
+        """Whether the journal makes sure that the request runs at most once."""
+        return not self.classification.repeatable and self.idempotency_key is not None
+
+    def digest(self) -> bytes:
+        """Return what identifies equal requests, for the quarantine."""
+        digest = blake2b(digest_size=16)
+        head = f"{self.classification.service}\n{self.method}\n{self.target}\n"
+        digest.update(head.encode("utf-8", "surrogateescape"))
+        digest.update(self.body)
+        return digest.digest()
+
+    def body_digest(self) -> bytes:
+        """Return the digest that a resend with the same key must have."""
+        digest = blake2b(digest_size=16)
+        head = f"{self.method}\n{self.target}\n"
+        digest.update(head.encode("utf-8", "surrogateescape"))
+        digest.update(self.body)
+        return digest.digest()
+
+
+class RequestIds:
+    """Creates the request ids that upstreams see, and reads them back.
+
+    An upstream that calls another service while it serves a request passes the
+    id on in ``Sassafraswharf-Nested``. The id is authenticated, so an outside
+    caller can't claim the urgency of a nested call.
+
+    >>> ids = RequestIds("dub-a-1", b"0123456789abcdef")
+    >>> ids.depth_of(ids.create(7, 0))
+    1
+    >>> ids.depth_of("dub-a-1.7.0.0000000000000000")
+    0
+    """
+
+    def __init__(self, host: str, key: bytes) -> None:
+        """Use the shared key of the deployment, so that any router can check."""
+        self.host = host
+        self.key = key
+
+    def create(self, number: int, depth: int) -> str:
+        """Return the id for a request at a nesting depth."""
+        text = f"{self.host}.{number}.{depth}"
+        return f"{text}.{self.mac(text)}"
+
+    def depth_of(self, parent: str | None) -> int:
+        """Return the depth of a request that names ``parent``, 0 without one."""
+        if parent is None:
+            return 0
+        text, _, mac = parent.rpartition(".")
+        if not hmac.compare_digest(
+            self.mac(text).encode(), mac.encode("utf-8", "replace")
+        ):
+            return 0
+        return min(MAX_NESTED_DEPTH, int(text.rpartition(".")[2]) + 1)
+
+    def mac(self, text: str) -> str:
+        """Return the MAC of an id as hexadecimal digits."""
+        data = text.encode("utf-8", "surrogateescape")
+        return blake2b(data, digest_size=MAC_BYTES, key=self.key).hexdigest()
--- /dev/null
+++ b/src/sassafraswharf/router/local_upstreams.py
@@ -0,0 +1,344 @@
+"""The upstreams beside this router: announcements, grants, releases."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from typing import TYPE_CHECKING
+from typing import Final
+
+import msgspec
+
+from absl import logging
+from result import Err
+
+from sassafraswharf.cell.commands import AnnounceUpstream
+from sassafraswharf.cell.commands import SlotsReleased
+from sassafraswharf.cell.commands import UpstreamLost
+from sassafraswharf.identifiers import ServiceName
+from sassafraswharf.identifiers import UpstreamId
+from sassafraswharf.leases.holder import NO_SESSION
+from sassafraswharf.membership.values import UpstreamState
+from sassafraswharf.ownership.slot_table import ranges_of
+from sassafraswharf.router.incoming import MAX_NESTED_DEPTH
+from sassafraswharf.router.local_service import NO_SLOT
+from sassafraswharf.router.upstream_runner import UpstreamRunner
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from sassafraswharf.cell.commands import Command
+    from sassafraswharf.clock import Clock
+    from sassafraswharf.membership.values import Upstream
+    from sassafraswharf.ownership.slot_table import SlotTable
+    from sassafraswharf.ownership.values import SlotRun
+    from sassafraswharf.router.announcement import Announcement
+    from sassafraswharf.router.control_link import ControlLink
+    from sassafraswharf.router.local_service import LocalService
+    from sassafraswharf.router.view import RouterView
+
+
+RECONCILE_S: Final = 0.1
+GRANT_TIMEOUT_S: Final = 1.0
+GRANT_REFRESH_S: Final = 2.0
+GRANT_RETRY_S: Final = 0.1
+SERVED_STATES: Final = frozenset({UpstreamState.ADMITTED, UpstreamState.DRAINING})
+
+
+class LocalUpstreams:
+    """Follows the view and keeps runners, grants and releases in step with it.
+
+    One task reconciles after every change of the view and ten times a second,
+    so that a release is noticed soon after the last request in flight ended.
+    """
+
+    def __init__(
+        self,
+        view: RouterView,
+        link: ControlLink,
+        service: LocalService,
+        clock: Clock,
+    ) -> None:
+        """Start without upstreams."""
+        self.view = view
+        self.link = link
+        self.service = service
+        self.clock = clock
+        self.announced: dict[UpstreamId, Announcement] = {}
+        self.granted_at: dict[UpstreamId, tuple[int, float]] = {}
+        self.draining: set[UpstreamId] = set()
+        self.releases: dict[tuple[ServiceName, UpstreamId], int] = {}
+        self.proposals: dict[str, asyncio.Task[None]] = {}
+        self.grants: dict[UpstreamId, asyncio.Task[None]] = {}
+        self.probes: dict[UpstreamId, asyncio.Task[None]] = {}
+        self.task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Start to follow the view."""
+        self.task = asyncio.create_task(self.run())
+
+    async def stop(self) -> None:
+        """Stop following and close the connections to the upstreams."""
+        tasks = [*self.proposals.values(), *self.grants.values(), *self.probes.values()]
+        if self.task is not None:
+            tasks.append(self.task)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for runner in self.service.runners.values():
+            await runner.close()
+
+    async def run(self) -> None:
+        """Reconcile until cancelled."""
+        while True:
+            try:
+                await self.reconcile()
+            except Exception:
+                logging.exception("reconciling the local upstreams failed")
+            await self.view.changed.wait(RECONCILE_S)
+
+    def announce(self, announcement: Announcement) -> None:
+        """Take the announcement of an upstream beside this router."""
+        upstream = UpstreamId(announcement["upstream"])
+        self.announced[upstream] = announcement
+        self.pass_on(upstream, announcement)
+
+    async def reconcile(self) -> None:
+        """Bring runners, grants and releases in line with the view."""
+        wanted = self.wanted()
+        for name in set(self.service.runners) - set(wanted):
+            await self.drop(name)
+        for name, upstream in wanted.items():
+            runner = self.service.runners.get(name)
+            if runner is not None and not is_same_process(runner.upstream, upstream):
+                await self.drop(name)
+                runner = None
+            if runner is None:
+                self.service.runners[name] = self.create_runner(upstream)
+            self.grant(upstream)
+            self.release(upstream)
+        for name, announcement in self.announced.items():
+            self.pass_on(name, announcement)
+
+    def wanted(self) -> dict[UpstreamId, Upstream]:
+        """Return the upstreams that this session serves."""
+        session = self.link.holder.session
+        return {
+            upstream.upstream: upstream
+            for upstream in self.view.upstreams.values()
+            if session != NO_SESSION
+            and upstream.session == session
+            and upstream.state in SERVED_STATES
+        }
+
+    def create_runner(self, upstream: Upstream) -> UpstreamRunner:
+        """Return a runner with empty queues for a process of an upstream."""
+        in_cycle = upstream.service in self.view.cyclic_services
+        return UpstreamRunner(
+            upstream,
+            MAX_NESTED_DEPTH if in_cycle else 0,
+            self.clock,
+            self.service.ids,
+            self.on_trouble,
+        )
+
+    async def drop(self, name: UpstreamId) -> None:
+        """Forget a runner; its waiting requests are handed back as not run."""
+        runner = self.service.runners.pop(name)
+        self.granted_at.pop(name, None)
+        self.service.granted.pop(name, None)
+        self.draining.discard(name)
+        runner.withdraw()
+        self.proposals[f"close {name}"] = asyncio.create_task(close_when_idle(runner))
+
+    def pass_on(self, name: UpstreamId, announcement: Announcement) -> None:
+        """Commit an announcement that the cell does not know yet."""
+        session = self.link.holder.session
+        known = self.view.upstreams.get(name)
+        if session == NO_SESSION or announcement["service"] not in self.view.services:
+            return
+        command = AnnounceUpstream(
+            name,
+            self.service.host,
+            session,
+            ServiceName(announcement["service"]),
+            announcement["address"],
+            announcement["slots"],
+            announcement["connections"],
+            announcement["checks_grants"],
+            announcement["incarnation"],
+            announcement["speed"],
+        )
+        if known is not None and is_announced(known, command):
+            return
+        self.propose(f"announce {name}", command)
+
+    def propose(self, name: str, command: Command) -> None:
+        """Commit a command in the background, one at a time per name."""
+        running = self.proposals.get(name)
+        if running is not None and not running.done():
+            return
+
+        async def run() -> None:
+            reply = await self.link.propose(command._replace(at=time.time()))
+            if isinstance(reply, Err):
+                logging.warning("%s: %s", name, reply.err_value)
+            elif reply.ok_value.code:
+                logging.warning("%s refused: %s", name, reply.ok_value.message)
+            else:
+                self.link.note_newest(reply.ok_value.version, 0)
+
+        self.proposals[name] = asyncio.create_task(run())
+
+    def grant(self, upstream: Upstream) -> None:
+        """Send the grant when the table has changed, and from time to time."""
+        version, sent_at = self.granted_at.get(upstream.upstream, (-1, 0.0))
+        is_fresh = self.clock.now() - sent_at < GRANT_REFRESH_S
+        if version == self.view.version and is_fresh:
+            return
+        running = self.grants.get(upstream.upstream)
+        if running is None or running.done():
+            task = asyncio.create_task(self.send_grant(upstream))
+            self.grants[upstream.upstream] = task
+
+    async def send_grant(self, upstream: Upstream) -> None:
+        """Send the slots that the upstream owns now, and a drain if due."""
+        runner = self.service.runners.get(upstream.upstream)
+        if runner is None:
+            return
+        version = self.view.version
+        session = self.link.holder.session
+        table = self.view.tables.get(upstream.service)
+        body = {
+            "service": upstream.service,
+            "upstream": upstream.upstream,
+            "session": session,
+            "table_version": version,
+            "valid_for_s": max(0.0, self.link.holder.expires_at - self.clock.now()),
+            "runs": [] if table is None else grant_runs(table, upstream, session),
+        }
+        answer = await runner.peer.send(
+            "POST",
+            "/-/grant",
+            {"Content-Type": "application/json"},
+            msgspec.json.encode(body),
+            GRANT_TIMEOUT_S,
+            65_536,
+        )
+        if answer.status != 200:
+            await asyncio.sleep(GRANT_RETRY_S)
+            return
+        self.granted_at[upstream.upstream] = (version, self.clock.now())
+        if self.service.granted.get(upstream.upstream) != version:
+            self.service.granted[upstream.upstream] = version
+            self.view.changed.notify()
+        if upstream.state == UpstreamState.DRAINING:
+            await self.send_drain(runner)
+
+    async def send_drain(self, runner: UpstreamRunner) -> None:
+        """Tell an upstream once that it gets no new work."""
+        name = runner.upstream.upstream
+        if name in self.draining:
+            return
+        answer = await runner.peer.send(
+            "POST", "/-/drain", {}, b"", GRANT_TIMEOUT_S, 65_536
+        )
+        if answer.status == 200:
+            self.draining.add(name)
+
+    def release(self, upstream: Upstream) -> None:
+        """Release closing slots that have no request in flight."""
+        table = self.view.tables.get(upstream.service)
+        runner = self.service.runners.get(upstream.upstream)
+        session = self.link.holder.session
+        if table is None or runner is None:
+            return
+        closing = table.slots_where(
+            lambda holding: (
+                holding.closing
+                and holding.upstream == upstream.upstream
+                and holding.session == session
+            )
+        )
+        busy = set(runner.running_slots.values())
+        if upstream.state == UpstreamState.DRAINING and NO_SLOT in busy:
+            # The last release lets the cell remove the upstream.
+            return
+        idle = [slot for slot in closing if slot not in busy]
+        if idle:
+            command = SlotsReleased(
+                upstream.service, ranges_of(idle), self.view.version, session
+            )
+            self.propose(f"release {upstream.upstream}", command)
+
+    def on_trouble(self, runner: UpstreamRunner) -> None:
+        """Find out whether the process of an upstream has ended."""
+        name = runner.upstream.upstream
+        running = self.probes.get(name)
+        if running is None or running.done():
+            self.probes[name] = asyncio.create_task(self.probe(runner))
+
+    async def probe(self, runner: UpstreamRunner) -> None:
+        """Report an upstream that refuses connections as lost.
+
+        The cell reassigns its slots at once, although the lease of this host
+        is still valid. So nothing is sent to this process any more before the
+        report, and what is in flight must have ended.
+        """
+        upstream = runner.upstream
+        if await runner.is_reachable():
+            return
+        logging.warning("upstream %s refuses connections", upstream.upstream)
+        runner.lost = True
+        runner.withdraw()
+        await runner.idle.wait()
+        self.propose(
+            f"lost {upstream.upstream}",
+            UpstreamLost(upstream.upstream, upstream.incarnation),
+        )
+
+
+async def close_when_idle(runner: UpstreamRunner) -> None:
+    """Close the connections after the last request in flight has ended."""
+    await runner.idle.wait()
+    await runner.close()
+
+
+def is_same_process(left: Upstream, right: Upstream) -> bool:
+    """Return whether two descriptions are of one process with one address."""
+    return (left.incarnation, left.address, left.session) == (
+        right.incarnation,
+        right.address,
+        right.session,
+    )
+
+
+def is_announced(known: Upstream, command: AnnounceUpstream) -> bool:
+    """Return whether the cell knows everything that the announcement says."""
+    if known.state in {UpstreamState.LOST, UpstreamState.GONE}:
+        return known.incarnation >= command.incarnation
+    return all(
+        getattr(known, field) == getattr(command, field)
+        for field in AnnounceUpstream._fields
+        if field != "at"
+    )
+
+
+def grant_runs(
+    table: SlotTable, upstream: Upstream, session: int
+) -> list[dict[str, object]]:
+    """Return the runs of an upstream that it may serve, as JSON objects."""
+    return [run._asdict() for run in owned_runs(table.runs(), upstream, session)]
+
+
+def owned_runs(
+    runs: Iterable[SlotRun], upstream: Upstream, session: int
+) -> list[SlotRun]:
+    """Return the runs that belong to the upstream under the session."""
+    return [
+        run
+        for run in runs
+        if run.upstream == upstream.upstream and run.session == session
+    ]
--- /dev/null
+++ b/src/sassafraswharf/router/request_path.py
@@ -0,0 +1,264 @@
+"""The way of a request from its arrival to its answer."""
+
+from __future__ import annotations
+
+import asyncio
+
+from typing import TYPE_CHECKING
+from typing import Final
+from typing import NamedTuple
+
+from sassafraswharf.codes import ResultCode
+from sassafraswharf.failure import Failure
+from sassafraswharf.requests.outcome import OUTCOMES
+from sassafraswharf.requests.outcome import Exchange
+from sassafraswharf.requests.outcome import OutcomeKind
+from sassafraswharf.requests.outcome import may_retry
+from sassafraswharf.requests.retry_budget import RetryBudget
+from sassafraswharf.router import headers
+from sassafraswharf.router.answers import Answer
+from sassafraswharf.router.answers import refusal
+from sassafraswharf.router.local_service import not_owner
+from sassafraswharf.router.local_service import refused
+
+
+if TYPE_CHECKING:
+    import random
+
+    from sassafraswharf.clock import Clock
+    from sassafraswharf.identifiers import ServiceName
+    from sassafraswharf.identifiers import UpstreamId
+    from sassafraswharf.membership.values import Session
+    from sassafraswharf.ownership.values import Ownership
+    from sassafraswharf.requests.outcome import Outcome
+    from sassafraswharf.requests.upstream_choice import UpstreamChoice
+    from sassafraswharf.router.http_exchange import HttpAnswer
+    from sassafraswharf.router.incoming import Incoming
+    from sassafraswharf.router.local_service import LocalService
+    from sassafraswharf.router.peer_routers import PeerRouters
+    from sassafraswharf.router.upstream_runner import RunResult
+    from sassafraswharf.router.view import RouterView
+
+
+HOLD_S: Final = 2.0
+"""How long a request waits for a slot that has no owner at the moment."""
+RETRY_PAUSE_S: Final = 0.02
+EXPECTED_ATTEMPT_S: Final = 0.005
+REDIRECTED: Final = frozenset(
+    {ResultCode.NOT_OWNER, ResultCode.LEASE_EXPIRED, ResultCode.SHUTTING_DOWN}
+)
+"""Refusals that another owner, or the same one a little later, may not give."""
+
+
+class Attempt(NamedTuple):
+    """The answer of one attempt, what it means and where it was made."""
+
+    answer: Answer
+    outcome: Outcome
+    owner_address: str = ""
+
+
+class RequestPath:
+    """Finds the owner of each request and gets its answer.
+
+    A request goes over at most one hop between routers. It is sent again only
+    if it is repeatable or the attempt before was provably not run, within a
+    budget for attempts that may have loaded an upstream.
+    """
+
+    def __init__(
+        self,
+        view: RouterView,
+        local: LocalService,
+        peers: PeerRouters,
+        choice: UpstreamChoice,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        """Keep the collaborators; budgets start per service."""
+        self.view = view
+        self.local = local
+        self.peers = peers
+        self.choice = choice
+        self.clock = clock
+        self.rng = rng
+        self.budgets: dict[ServiceName, RetryBudget] = {}
+
+    async def serve(self, request: Incoming) -> Attempt:
+        """Return the whole answer or a refusal, with the address of the owner."""
+        now = self.clock.now()
+        budget = self.budget(request.classification.service, now)
+        budget.on_request(now)
+        hold_until = min(request.deadline_at, now + HOLD_S)
+        while True:
+            attempt = await self.attempt(request)
+            if not await self.tries_again(request, attempt, budget, hold_until):
+                return attempt
+
+    async def serve_hop(self, request: Incoming, upstream: UpstreamId) -> RunResult:
+        """Serve a request that another router forwarded; it goes no further."""
+        if request.routing_key is None:
+            return await self.local.serve(request, upstream, None)
+        table = self.view.tables.get(request.classification.service)
+        ownership = None if table is None else table.owner_of(request.routing_key)
+        if ownership is None or ownership.upstream is None:
+            return refused(not_owner(upstream))
+        return await self.local.serve(request, ownership.upstream, ownership)
+
+    async def attempt(self, request: Incoming) -> Attempt:
+        """Make one attempt at the owner, or at an upstream of free choice."""
+        if request.routing_key is None:
+            return await self.attempt_any(request)
+        table = self.view.tables.get(request.classification.service)
+        if table is None:
+            return no_owner("the service has no slots yet")
+        ownership = table.owner_of(request.routing_key)
+        session = self.view.sessions.get(ownership.session)
+        if ownership.upstream is None or session is None:
+            return no_owner(f"slot {ownership.slot} has no owner at the moment")
+        if ownership.closing:
+            return no_owner(f"slot {ownership.slot} is being moved")
+        if session.host == self.local.host:
+            return await self.attempt_here(request, ownership.upstream, ownership)
+        return await self.attempt_there(request, ownership.upstream, session)
+
+    async def attempt_any(self, request: Incoming) -> Attempt:
+        """Choose among the available upstreams of a service without a key."""
+        service = request.classification.service
+        candidates = self.view.available.get(service, ())
+        upstream = self.choice.choose(candidates, self.clock.now(), self.rng)
+        if upstream is None:
+            return no_owner(f"no upstream of {service} is available")
+        session = self.view.sessions[self.view.upstreams[upstream].session]
+        self.choice.started(upstream, request.request_id, self.clock.now())
+        try:
+            if session.host == self.local.host:
+                attempt = await self.attempt_here(request, upstream, None)
+            else:
+                attempt = await self.attempt_there(request, upstream, session)
+        except asyncio.CancelledError:
+            self.choice.forgotten(upstream, request.request_id)
+            raise
+        if attempt.outcome.kind is OutcomeKind.NOT_RUN:
+            self.choice.forgotten(upstream, request.request_id)
+        self.choice.finished(
+            upstream,
+            request.request_id,
+            attempt.outcome.upstream_failed,
+            self.clock.now(),
+        )
+        return attempt
+
+    async def attempt_here(
+        self, request: Incoming, upstream: UpstreamId, ownership: Ownership | None
+    ) -> Attempt:
+        """Serve the request from an upstream beside this router."""
+        result = await self.local.serve(request, upstream, ownership)
+        outcome = outcome_of(result.answer, result.kind, failed=result.upstream_failed)
+        address = self.local.public_address if ownership is not None else ""
+        return Attempt(result.answer, outcome, address)
+
+    async def attempt_there(
+        self, request: Incoming, upstream: UpstreamId, session: Session
+    ) -> Attempt:
+        """Forward the request to the router beside the upstream."""
+        parent_id = ""
+        if request.nested_depth:
+            parent_id = self.local.ids.create(
+                request.request_id, request.nested_depth - 1
+            )
+        http = await self.peers.forward(
+            request, session, upstream, parent_id, self.clock.now()
+        )
+        keyed = request.routing_key is not None
+        return from_hop(http, session.public_address if keyed else "")
+
+    async def tries_again(
+        self,
+        request: Incoming,
+        attempt: Attempt,
+        budget: RetryBudget,
+        hold_until: float,
+    ) -> bool:
+        """Decide on another attempt, and wait until it makes sense."""
+        outcome = attempt.outcome
+        now = self.clock.now()
+        if outcome.kind is OutcomeKind.ANSWER or now >= hold_until:
+            return False
+        if attempt.answer.code in REDIRECTED or is_unassigned(attempt):
+            # Nothing has reached an upstream, so this does not spend the budget.
+            await self.view.changed.wait(min(hold_until - now, self.pause_s(attempt)))
+            return self.clock.now() < hold_until
+        if not outcome.upstream_failed:
+            return False
+        if not may_retry(outcome, request.classification.repeatable):
+            return False
+        if not budget.try_spend(now, request.deadline_at, EXPECTED_ATTEMPT_S):
+            return False
+        if request.routing_key is not None:
+            await self.view.changed.wait(min(hold_until - now, RETRY_PAUSE_S))
+        return True
+
+    def pause_s(self, attempt: Attempt) -> float:
+        """Return how long to wait for a change before looking again."""
+        if attempt.answer.code in REDIRECTED:
+            self.local.request_refresh()
+            return RETRY_PAUSE_S
+        return HOLD_S
+
+    def budget(self, service: ServiceName, now: float) -> RetryBudget:
+        """Return the retry budget of a service."""
+        budget = self.budgets.get(service)
+        if budget is None:
+            budget = self.budgets[service] = RetryBudget(now)
+        return budget
+
+
+def is_unassigned(attempt: Attempt) -> bool:
+    """Return whether the attempt ended because nobody may serve the slot."""
+    return attempt.answer.code == ResultCode.HANDOVER_TIMEOUT
+
+
+def no_owner(message: str) -> Attempt:
+    """Return the attempt that found nobody to ask."""
+    answer = refusal(Failure(ResultCode.HANDOVER_TIMEOUT, message))
+    return Attempt(answer, OUTCOMES[Exchange.NOTHING_SENT])
+
+
+def outcome_of(answer: Answer, kind: OutcomeKind, *, failed: bool) -> Outcome:
+    """Return the outcome of an attempt beside this router."""
+    base = OUTCOMES[Exchange.ANSWERED]
+    return base._replace(kind=kind, code=answer.code, upstream_failed=failed)
+
+
+def from_hop(http: HttpAnswer, owner_address: str) -> Attempt:
+    """Read the answer of the other router, or judge what became of it."""
+    outcome = OUTCOMES[http.exchange]
+    whole = http.exchange in {Exchange.ANSWERED, Exchange.ANSWERED_NOT_RUN}
+    if not whole or headers.CODE not in http.headers:
+        return lost_on_hop(outcome, owner_address)
+    code = ResultCode(int(http.headers[headers.CODE]))
+    not_run = http.headers.get(headers.NOT_RUN, "")
+    fields = headers.end_to_end(http.headers.items())
+    answer = Answer(code, http.status, fields, http.body, not_run)
+    failed = headers.UPSTREAM in http.headers
+    kind = OutcomeKind.ANSWER
+    if code != ResultCode.OK:
+        kind = OutcomeKind.NOT_RUN if not_run else OutcomeKind.MAY_HAVE_RUN
+    return Attempt(
+        answer,
+        outcome._replace(kind=kind, code=code, upstream_failed=failed),
+        owner_address,
+    )
+
+
+def lost_on_hop(outcome: Outcome, owner_address: str) -> Attempt:
+    """Return the refusal for a hop that gave no whole answer."""
+    code = outcome.code
+    if outcome.kind is OutcomeKind.ANSWER:
+        outcome = OUTCOMES[Exchange.CUT_SHORT]
+        code = outcome.code
+    if outcome.kind is OutcomeKind.NOT_RUN:
+        code = ResultCode.NOT_OWNER
+    failure = Failure(code, "the router beside the upstream gave no whole answer")
+    return Attempt(refusal(failure), outcome, owner_address)
--- /dev/null
+++ b/src/sassafraswharf/router/request_reader.py
@@ -0,0 +1,153 @@
+"""Reads an HTTP request into the form that the router works on."""
+
+from __future__ import annotations
+
+import asyncio
+
+from itertools import count
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+from result import Err
+from result import Ok
+
+from sassafraswharf.codes import ResultCode
+from sassafraswharf.failure import Failure
+from sassafraswharf.requests.deadline import deadline_of
+from sassafraswharf.router import headers
+from sassafraswharf.router.incoming import MAX_IDEMPOTENCY_KEY_CHARACTERS
+from sassafraswharf.router.incoming import Incoming
+from sassafraswharf.router.peer_routers import signed_text
+
+
+if TYPE_CHECKING:
+    from multidict import CIMultiDictProxy
+    from result import Result
+
+    from sassafraswharf.clock import Clock
+    from sassafraswharf.router.incoming import RequestIds
+    from sassafraswharf.router.view import RouterView
+    from sassafraswharf.transport.request_signer import RequestSigner
+
+
+class RequestReader:
+    """Checks and classifies requests of callers and of other routers."""
+
+    def __init__(
+        self,
+        view: RouterView,
+        ids: RequestIds,
+        signer: RequestSigner,
+        clock: Clock,
+    ) -> None:
+        """Start with request number 1."""
+        self.view = view
+        self.ids = ids
+        self.signer = signer
+        self.clock = clock
+        self.numbers = count(1)
+
+    async def read(
+        self, request: web.BaseRequest, *, hop: bool
+    ) -> Result[Incoming, Failure]:
+        """Return the whole request, or a code from 3001 to 3006 or 3104."""
+        arrived_at = self.clock.now()
+        repeated = repeated_header(request.headers)
+        if repeated is not None:
+            return bad_request(f"header {repeated} occurs twice")
+        raw_path, _, query = request.raw_path.partition("?")
+        classified = self.view.matcher.classify(
+            request.method, raw_path, query, request.headers
+        )
+        if isinstance(classified, Err):
+            return classified
+        classification = classified.ok_value
+        deadline = deadline_of(
+            arrived_at,
+            classification.deadline_s,
+            request.headers.get(headers.DEADLINE_MS),
+        )
+        if isinstance(deadline, Err):
+            return deadline
+        idempotency_key = request.headers.get(headers.IDEMPOTENCY_KEY)
+        if idempotency_key is not None and not is_usable(idempotency_key):
+            return bad_request("the idempotency key is empty, too long or not ASCII")
+        limit = classification.max_body_bytes
+        body = await read_body(request, limit, deadline.ok_value - arrived_at)
+        if isinstance(body, Err):
+            return body
+        return Ok(
+            Incoming(
+                next(self.numbers),
+                request.method,
+                request.raw_path,
+                request.headers,
+                body.ok_value,
+                classification,
+                idempotency_key,
+                self.ids.depth_of(request.headers.get(headers.NESTED)),
+                arrived_at,
+                deadline.ok_value,
+                hop,
+            )
+        )
+
+    def authenticate(
+        self, request: web.BaseRequest, body: bytes
+    ) -> Result[str, Failure]:
+        """Return the router that sent a request, or 6003 or 6004."""
+        return self.signer.verify(
+            request.headers.get(headers.AUTHENTICATION, ""),
+            request.method,
+            request.raw_path,
+            signed_text(request.headers),
+            body,
+        )
+
+
+async def read_body(
+    request: web.BaseRequest, limit_bytes: int, timeout_s: float
+) -> Result[bytes, Failure]:
+    """Return the whole body, or 3004 when it is longer than the limit."""
+    if not request.can_read_body:
+        return Ok(b"")
+    if (request.content_length or 0) > limit_bytes:
+        return too_large(limit_bytes)
+    try:
+        async with asyncio.timeout(timeout_s):
+            body = await request.read()
+    except web.HTTPRequestEntityTooLarge:
+        return too_large(limit_bytes)
+    except TimeoutError:
+        return bad_request("the body did not arrive before the deadline")
+    except web.PayloadAccessError as error:
+        return bad_request(f"the body is cut short or malformed: {error}")
+    if len(body) > limit_bytes:
+        return too_large(limit_bytes)
+    return Ok(body)
+
+
+def repeated_header(fields: CIMultiDictProxy[str]) -> str | None:
+    """Return a header that must be single but is not."""
+    for name in headers.SINGLE_VALUED:
+        if len(fields.getall(name, ())) > 1:
+            return name
+    return None
+
+
+def is_usable(idempotency_key: str) -> bool:
+    """Return whether a text can serve as an idempotency key."""
+    short = 0 < len(idempotency_key) <= MAX_IDEMPOTENCY_KEY_CHARACTERS
+    return short and idempotency_key.isascii() and idempotency_key.isprintable()
+
+
+def too_large(limit_bytes: int) -> Err[Failure]:
+    """Return the failure of a body that exceeds the limit."""
+    return Err(
+        Failure(ResultCode.BODY_TOO_LARGE, f"the body exceeds {limit_bytes} bytes")
+    )
+
+
+def bad_request(message: str) -> Err[Failure]:
+    """Return the failure of a request that can't be understood."""
+    return Err(Failure(ResultCode.BAD_REQUEST, message))
--- /dev/null
+++ b/src/sassafraswharf/router/router_part.py
@@ -0,0 +1,251 @@
+"""The router part of a process."""
+
+from __future__ import annotations
+
+import random
+
+from typing import TYPE_CHECKING
+from typing import Final
+
+from absl import logging
+from aiohttp import web
+from result import Err
+
+from sassafraswharf.cell.commands import OpenSession
+from sassafraswharf.codes import ResultCode
+from sassafraswharf.failure import Failure
+from sassafraswharf.identifiers import HostId
+from sassafraswharf.identifiers import UpstreamId
+from sassafraswharf.leases.holder import LeaseHolder
+from sassafraswharf.leases.messages import LeaseTiming
+from sassafraswharf.requests.upstream_choice import UpstreamChoice
+from sassafraswharf.router import headers
+from sassafraswharf.router.announcement import MAX_ANNOUNCEMENT_BYTES
+from sassafraswharf.router.announcement import read_announcement
+from sassafraswharf.router.answers import refusal
+from sassafraswharf.router.answers import to_response
+from sassafraswharf.router.control_link import ControlLink
+from sassafraswharf.router.http_server import HttpServer
+from sassafraswharf.router.incoming import RequestIds
+from sassafraswharf.router.local_service import LocalService
+from sassafraswharf.router.local_upstreams import LocalUpstreams
+from sassafraswharf.router.peer_routers import PeerRouters
+from sassafraswharf.router.request_path import RequestPath
+from sassafraswharf.router.request_reader import RequestReader
+from sassafraswharf.router.request_reader import read_body
+from sassafraswharf.router.view import RouterView
+from sassafraswharf.transport.request_signer import RequestSigner
+
+
+if TYPE_CHECKING:
+    from sassafraswharf.clock import Clock
+    from sassafraswharf.observability.metrics import Metrics
+    from sassafraswharf.settings.schema import Settings
+    from sassafraswharf.transport.datagrams import DatagramEndpoint
+    from sassafraswharf.transport.mailbox import Mailbox
+
+
+ANNOUNCEMENT_TIMEOUT_S: Final = 2.0
+DRAIN_TIMEOUT_S: Final = 30.0
+LOCAL_PREFIX: Final = "/-/"
+REQUESTS_METRIC: Final = "sassafraswharf_requests"
+
+
+class RouterPart:
+    """Serves callers, forwards to other routers and runs the local upstreams."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        key: bytes,
+        incarnation: int,
+        mailbox: Mailbox,
+        datagrams: DatagramEndpoint,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        """Connect the pieces; nothing runs before ``start``."""
+        bind = settings["bind"]
+        host = HostId(settings["host"])
+        self.settings = settings
+        self.clock = clock
+        self.metrics = metrics
+        self.view = RouterView()
+        self.holder = LeaseHolder(host, LeaseTiming())
+        self.signer = RequestSigner(host, key, incarnation)
+        self.ids = RequestIds(host, key)
+        opening = OpenSession(
+            host,
+            incarnation,
+            settings["zone"],
+            f"{bind['address']}:{bind['public_port']}",
+            f"{bind['address']}:{bind['internal_port']}",
+            f"{bind['address']}:{bind['lease_port']}",
+            f"{bind['address']}:{bind['control_port']}",
+        )
+        self.link = ControlLink(
+            opening,
+            settings["cell"],
+            settings["control_hosts"],
+            self.holder,
+            self.view,
+            mailbox,
+            datagrams,
+            clock,
+            lambda: b"",
+        )
+        self.local = LocalService(
+            host,
+            opening.public_address,
+            self.view,
+            self.holder,
+            clock,
+            self.ids,
+            self.link.refresh,
+        )
+        self.upstreams = LocalUpstreams(self.view, self.link, self.local, clock)
+        self.peers = PeerRouters(self.signer)
+        self.path = RequestPath(
+            self.view,
+            self.local,
+            self.peers,
+            UpstreamChoice(),
+            clock,
+            random.Random(incarnation),
+        )
+        self.reader = RequestReader(self.view, self.ids, self.signer, clock)
+        limits = settings["router"]
+        self.public = HttpServer(
+            self.on_public,
+            max_body_bytes=limits["max_body_bytes"],
+            max_header_bytes=limits["max_header_bytes"],
+            header_timeout_s=limits["header_timeout_s"],
+        )
+        self.internal = HttpServer(
+            self.on_internal,
+            max_body_bytes=limits["max_body_bytes"],
+            max_header_bytes=2 * limits["max_header_bytes"],
+            header_timeout_s=limits["header_timeout_s"],
+        )
+        metrics.counter(REQUESTS_METRIC, "code", "Requests of callers by result code")
+
+    async def start(self) -> None:
+        """Listen and join the cell; raises ``TransportError``."""
+        bind = self.settings["bind"]
+        await self.internal.start(bind["address"], bind["internal_port"])
+        await self.public.start(bind["address"], bind["public_port"])
+        self.link.start()
+        self.upstreams.start()
+
+    async def stop(self) -> None:
+        """Finish all requests in flight, then release the lease.
+
+        The lease is kept until the last request has ended; then the session is
+        closed, so that the slots move without waiting for the end of the lease.
+        """
+        self.local.stopping = True
+        await self.public.stop_accepting()
+        finished = await self.public.drain(DRAIN_TIMEOUT_S)
+        finished = await self.internal.drain(DRAIN_TIMEOUT_S) and finished
+        if not finished:
+            logging.warning("requests were still in flight after %s s", DRAIN_TIMEOUT_S)
+        await self.link.stop()
+        await self.upstreams.stop()
+        await self.public.stop()
+        await self.internal.stop()
+        await self.peers.close()
+
+    async def on_public(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer a caller, or an upstream that announces itself."""
+        if request.path.startswith(LOCAL_PREFIX):
+            return await self.on_local(request)
+        incoming = await self.reader.read(request, hop=False)
+        if isinstance(incoming, Err):
+            answer, owner = refusal(incoming.err_value), ""
+        else:
+            attempt = await self.path.serve(incoming.ok_value)
+            answer, owner = attempt.answer, attempt.owner_address
+        self.metrics.add(REQUESTS_METRIC, str(int(answer.code)))
+        return to_response(answer, owner, close=self.local.stopping)
+
+    async def on_internal(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Serve a request that another router has forwarded."""
+        incoming = await self.reader.read(request, hop=True)
+        if isinstance(incoming, Err):
+            return to_response(refusal(incoming.err_value), "", close=False)
+        sender = self.reader.authenticate(request, incoming.ok_value.body)
+        if isinstance(sender, Err):
+            return to_response(refusal(sender.err_value), "", close=True)
+        upstream = UpstreamId(request.headers.get(headers.UPSTREAM, ""))
+        result = await self.path.serve_hop(incoming.ok_value, upstream)
+        response = to_response(result.answer, "", close=self.local.stopping)
+        if result.upstream_failed:
+            response.headers[headers.UPSTREAM] = "failed"
+        return response
+
+    async def on_local(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer the endpoints of the router itself."""
+        if request.path == "/-/announce" and request.method == "POST":
+            return await self.on_announce(request)
+        if request.path == "/-/health":
+            return self.on_health()
+        if request.path == "/-/owner":
+            return self.on_owner(request)
+        failure = Failure(ResultCode.UNKNOWN_OPERATION, f"no endpoint {request.path}")
+        return to_response(refusal(failure), "", close=False)
+
+    async def on_announce(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Take the announcement of an upstream beside this router."""
+        body = await read_body(request, MAX_ANNOUNCEMENT_BYTES, ANNOUNCEMENT_TIMEOUT_S)
+        if isinstance(body, Err):
+            return to_response(refusal(body.err_value), "", close=True)
+        announcement = read_announcement(body.ok_value)
+        if isinstance(announcement, Err):
+            return to_response(refusal(announcement.err_value), "", close=False)
+        self.upstreams.announce(announcement.ok_value)
+        known = self.view.upstreams.get(UpstreamId(announcement.ok_value["upstream"]))
+        state = "unknown" if known is None else known.state.name.lower()
+        return web.json_response({"code": 0, "state": state})
+
+    def on_health(self) -> web.StreamResponse:
+        """Tell whether this router can serve callers."""
+        valid = self.holder.is_valid(self.clock.now()) and not self.local.stopping
+        body = {"live": valid, "revision": self.view.revision}
+        return web.json_response(body, status=200 if valid else 503)
+
+    def on_owner(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Tell a caller which router is beside the owner of a key."""
+        service = request.query.get("service", "")
+        table = {str(name): item for name, item in self.view.tables.items()}.get(
+            service
+        )
+        if table is None:
+            failure = Failure(ResultCode.UNKNOWN_SERVICE, f"no service {service!r}")
+            return to_response(refusal(failure), "", close=False)
+        owner = table.owner_of(request.query.get("key", ""))
+        session = self.view.sessions.get(owner.session)
+        address = None if session is None else f"http://{session.public_address}"
+        return web.json_response(
+            {"slot": owner.slot, "epoch": owner.epoch, "owner": address}
+        )
+
+    def describe(self) -> dict[str, object]:
+        """Return the state of this router for the admin port."""
+        now = self.clock.now()
+        return {
+            "host": self.settings["host"],
+            "session": self.holder.session,
+            "lease_remaining_s": max(0.0, self.holder.expires_at - now)
+            if self.holder.session
+            else 0.0,
+            "revision": self.view.revision,
+            "table_version": self.view.version,
+            "upstreams": {
+                name: {
+                    "running": len(runner.running),
+                    "waiting": len(runner.admission.waiting),
+                    "limit": runner.admission.limit.limit,
+                }
+                for name, runner in self.local.runners.items()
+            },
+        }
--- /dev/null
+++ b/src/sassafraswharf/router/upstream_runner.py
@@ -0,0 +1,292 @@
+"""Runs requests on one upstream beside the router, within its limits."""
+
+from __future__ import annotations
+
+import asyncio
+
+from typing import TYPE_CHECKING
+from typing import Final
+from typing import NamedTuple
+
+from sassafraswharf.codes import ResultCode
+from sassafraswharf.failure import Failure
+from sassafraswharf.requests.admission import Admission
+from sassafraswharf.requests.admission import Verdict
+from sassafraswharf.requests.deadline import dispatch_deadline
+from sassafraswharf.requests.deadline import remaining_ms
+from sassafraswharf.requests.outcome import OUTCOMES
+from sassafraswharf.requests.outcome import Exchange
+from sassafraswharf.requests.outcome import OutcomeKind
+from sassafraswharf.router import headers
+from sassafraswharf.router.answers import Answer
+from sassafraswharf.router.answers import refusal
+from sassafraswharf.router.http_exchange import HttpAnswer
+from sassafraswharf.router.http_exchange import HttpPeer
+
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from sassafraswharf.clock import Clock
+    from sassafraswharf.membership.values import Upstream
+    from sassafraswharf.requests.outcome import Outcome
+    from sassafraswharf.router.incoming import Incoming
+    from sassafraswharf.router.incoming import RequestIds
+
+
+CONNECT_PROBE_S: Final = 0.2
+MESSAGES: Final = {
+    ResultCode.NOT_RUN: "the upstream did not run the request",
+    ResultCode.NO_UPSTREAM: "the upstream refuses connections",
+    ResultCode.OUTCOME_UNKNOWN: "the connection to the upstream was lost",
+    ResultCode.ANSWER_INCOMPLETE: "the answer of the upstream was cut short",
+    ResultCode.UPSTREAM_TIMEOUT: "the upstream did not answer in time",
+}
+
+
+class Permit(NamedTuple):
+    """Why a request may be dispatched, checked right before it is sent.
+
+    ``lease_expires_at`` is when the right ends; ``is_valid`` re-checks slot and
+    session after the request has waited.
+    """
+
+    epoch: int
+    slot: int
+    lease_expires_at: Callable[[], float]
+    is_valid: Callable[[], bool]
+
+
+class RunResult(NamedTuple):
+    """The answer for the caller and what is known about the run."""
+
+    answer: Answer
+    kind: OutcomeKind
+    upstream_failed: bool = False
+
+
+class UpstreamRunner:
+    """Admission control and dispatch for one upstream.
+
+    This router is the only way to the upstream, so it knows exactly what is in
+    flight. At most the concurrency limit of the admission control is sent at a
+    time, and never more than the declared connections.
+    """
+
+    def __init__(
+        self,
+        upstream: Upstream,
+        nested_levels: int,
+        clock: Clock,
+        ids: RequestIds,
+        on_connection_trouble: Callable[[UpstreamRunner], None],
+    ) -> None:
+        """Start with empty queues; connections open on demand and are kept."""
+        self.upstream = upstream
+        self.clock = clock
+        self.ids = ids
+        self.on_connection_trouble = on_connection_trouble
+        slots = max(1, min(upstream.slots, upstream.connections))
+        self.admission = Admission(slots, nested_levels)
+        self.peer = HttpPeer(upstream.address, upstream.connections)
+        self.starts: dict[int, asyncio.Future[bool]] = {}
+        self.running: dict[int, Incoming] = {}
+        self.running_slots: dict[int, int] = {}
+        self.lost = False
+        self.idle = asyncio.Event()
+        self.idle.set()
+        self.expiry: asyncio.TimerHandle | None = None
+
+    async def close(self) -> None:
+        """Refuse what waits and close the connections."""
+        self.withdraw()
+        await self.peer.close()
+
+    def withdraw(self) -> None:
+        """Hand back all waiting requests as not run."""
+        self.resolve(self.admission.withdraw_all(), may_start=False)
+
+    def is_slot_busy(self, slots: frozenset[int]) -> bool:
+        """Return whether a request of one of the slots is in flight."""
+        return not slots.isdisjoint(self.running_slots.values())
+
+    async def run(
+        self,
+        request: Incoming,
+        permit: Permit,
+        *,
+        solo: bool,
+        before_dispatch: Callable[[], Awaitable[Answer | None]] | None = None,
+    ) -> RunResult:
+        """Admit the request, send it and return the whole answer or a refusal.
+
+        ``before_dispatch`` may still refuse by returning an answer; it records
+        the intent of a journaled request.
+        """
+        refused = await self.admit(request, solo=solo)
+        if refused is not None:
+            return RunResult(refused, OutcomeKind.NOT_RUN)
+        started_at = self.clock.now()
+        self.running[request.request_id] = request
+        self.running_slots[request.request_id] = permit.slot
+        self.idle.clear()
+        outcome = OUTCOMES[Exchange.CANCELLED]
+        try:
+            if before_dispatch is not None:
+                outcome = OUTCOMES[Exchange.CANCELLED_BEFORE_SEND]
+                refused = await before_dispatch()
+                if refused is not None:
+                    return RunResult(refused, OutcomeKind.NOT_RUN)
+            outcome = OUTCOMES[Exchange.CANCELLED]
+            http = await self.dispatch(request, permit)
+            if isinstance(http, Answer):
+                outcome = OUTCOMES[Exchange.NOTHING_SENT]
+                return RunResult(http, OutcomeKind.NOT_RUN)
+            outcome = OUTCOMES[http.exchange]
+            return self.result(http, outcome)
+        finally:
+            self.finish(request, outcome, started_at)
+
+    async def admit(self, request: Incoming, *, solo: bool) -> Answer | None:
+        """Wait for a slot; return a refusal when there is none in time."""
+        now = self.clock.now()
+        decision = self.admission.offer(request.request_id, request.facts, now, solo)
+        if decision.verdict is Verdict.RUN:
+            return None
+        if decision.verdict is Verdict.EXPIRED:
+            return expired()
+        if decision.verdict is Verdict.REFUSE:
+            failure = Failure(
+                ResultCode.OVERLOADED, f"{self.upstream.upstream} is overloaded"
+            )
+            return refusal(failure, retry_after_s=decision.retry_after_s)
+        start: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        self.starts[request.request_id] = start
+        self.schedule_expiry()
+        try:
+            may_start = await start
+        except asyncio.CancelledError:
+            now = self.clock.now()
+            self.resolve(self.admission.cancelled(request.request_id, now))
+            raise
+        finally:
+            self.starts.pop(request.request_id, None)
+        return None if may_start else self.not_started(request)
+
+    def not_started(self, request: Incoming) -> Answer:
+        """Return the refusal for a request that waited in vain."""
+        if request.deadline_at <= self.clock.now():
+            return expired()
+        return refusal(Failure(ResultCode.NOT_OWNER, "the slots are being moved"))
+
+    async def dispatch(self, request: Incoming, permit: Permit) -> HttpAnswer | Answer:
+        """Check the right to send once more, then send."""
+        if not permit.is_valid():
+            return refusal(
+                Failure(ResultCode.LEASE_EXPIRED, "the right to the slot has ended")
+            )
+        now = self.clock.now()
+        deadline_at = request.deadline_at
+        if not self.upstream.checks_grants:
+            # Nothing but the deadline stops such an upstream after the lease.
+            deadline_at = dispatch_deadline(deadline_at, permit.lease_expires_at())
+        timeout_s = deadline_at - now
+        if timeout_s <= 0:
+            return expired()
+        fields = headers.end_to_end(request.headers.items())
+        if permit.epoch:
+            fields += [
+                (headers.EPOCH, str(permit.epoch)),
+                (headers.SLOT, str(permit.slot)),
+            ]
+        fields += [
+            (headers.DEADLINE_MS, str(remaining_ms(deadline_at, now))),
+            (
+                headers.REQUEST_ID,
+                self.ids.create(request.request_id, request.nested_depth),
+            ),
+        ]
+        return await self.peer.send(
+            request.method,
+            request.target,
+            dict(fields),
+            request.body,
+            timeout_s,
+            request.classification.max_body_bytes,
+        )
+
+    def result(self, http: HttpAnswer, outcome: Outcome) -> RunResult:
+        """Return the answer of the upstream, or what is known instead."""
+        if outcome.kind is OutcomeKind.ANSWER:
+            fields = headers.end_to_end(http.headers.items())
+            answer = Answer(ResultCode.OK, http.status, fields, http.body)
+            return RunResult(answer, outcome.kind)
+        message = MESSAGES.get(outcome.code, "the request was not completed")
+        failure = Failure(outcome.code, f"{self.upstream.upstream}: {message}")
+        return RunResult(refusal(failure), outcome.kind, outcome.upstream_failed)
+
+    def finish(self, request: Incoming, outcome: Outcome, started_at: float) -> None:
+        """Free the slot and start what waits."""
+        now = self.clock.now()
+        self.running.pop(request.request_id, None)
+        self.running_slots.pop(request.request_id, None)
+        if not self.running:
+            self.idle.set()
+        self.resolve(
+            self.admission.finished(request.request_id, now - started_at, outcome, now)
+        )
+        if outcome.upstream_failed:
+            self.on_connection_trouble(self)
+
+    def resolve(self, request_ids: list[int], *, may_start: bool = True) -> None:
+        """Wake requests that may start, or must give up."""
+        for request_id in request_ids:
+            start = self.starts.get(request_id)
+            if start is not None and not start.done():
+                start.set_result(may_start)
+        self.resolve_expired()
+
+    def resolve_expired(self) -> None:
+        """Wake the requests whose deadline has passed while they waited."""
+        for request_id in self.admission.expire(self.clock.now()):
+            start = self.starts.get(request_id)
+            if start is not None and not start.done():
+                start.set_result(False)
+
+    def schedule_expiry(self) -> None:
+        """Arrange that the earliest deadline is noticed without other events."""
+        if self.expiry is not None:
+            return
+        next_at = self.admission.next_expiry_at
+        if next_at is None:
+            return
+        delay_s = max(0.0, next_at - self.clock.now())
+        loop = asyncio.get_running_loop()
+        self.expiry = loop.call_later(delay_s, self.on_expiry)
+
+    def on_expiry(self) -> None:
+        """Expire what is due and look for the next deadline."""
+        self.expiry = None
+        self.resolve_expired()
+        self.schedule_expiry()
+
+    async def is_reachable(self) -> bool:
+        """Return whether the upstream accepts a TCP connection."""
+        host, _, port = self.upstream.address.rpartition(":")
+        try:
+            async with asyncio.timeout(CONNECT_PROBE_S):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except ConnectionRefusedError:
+            return False
+        except (OSError, TimeoutError):
+            # A frozen or unreachable process may still be running requests.
+            return True
+        writer.close()
+        return True
+
+
+def expired() -> Answer:
+    """Return the refusal for a request whose deadline has passed."""
+    failure = Failure(ResultCode.DEADLINE_EXPIRED, "the deadline passed before a start")
+    return refusal(failure)
--- /dev/null
+++ b/src/sassafraswharf/router/view.py
@@ -0,0 +1,87 @@
+"""What a router knows of its cell and of the configuration."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from result import Err
+from result import Ok
+
+from sassafraswharf.cell.view import CellView
+from sassafraswharf.configuration.validation import decode_document
+from sassafraswharf.membership.values import SessionState
+from sassafraswharf.membership.values import UpstreamState
+from sassafraswharf.requests.classification import compile_services
+from sassafraswharf.requests.classification import services_in_call_cycles
+from sassafraswharf.router.change_signal import ChangeSignal
+
+
+if TYPE_CHECKING:
+    from result import Result
+
+    from sassafraswharf.cell.delta import CellDelta
+    from sassafraswharf.configuration.documents import ServiceDocument
+    from sassafraswharf.failure import Failure
+    from sassafraswharf.identifiers import ServiceName
+    from sassafraswharf.identifiers import UpstreamId
+    from sassafraswharf.requests.classification import RequestMatcher
+
+
+class RouterView(CellView):
+    """A copy of the cell's tables and of the configuration.
+
+    The copy may lag behind; the owner's router checks every request against
+    its own copy and lease, so a stale copy elsewhere costs a retry and nothing
+    else. Neither the table version nor the configuration revision goes back.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.revision = 0
+        self.matcher: RequestMatcher = compile_services([]).unwrap()
+        self.services: dict[str, ServiceDocument] = {}
+        self.cyclic_services: set[ServiceName] = set()
+        self.available: dict[ServiceName, tuple[UpstreamId, ...]] = {}
+        self.changed = ChangeSignal()
+
+    def accept_configuration(
+        self, revision: int, document: bytes
+    ) -> Result[bool, Failure]:
+        """Use a newer configuration; an older or equal one changes nothing."""
+        if revision <= self.revision:
+            return Ok(False)
+        decoded = decode_document(document)
+        if isinstance(decoded, Err):
+            return decoded
+        services = decoded.ok_value["services"]
+        matcher = compile_services(services)
+        if isinstance(matcher, Err):
+            return matcher
+        self.matcher = matcher.ok_value
+        self.services = {service["name"]: service for service in services}
+        self.cyclic_services = services_in_call_cycles(services)
+        self.revision = revision
+        self.changed.notify()
+        return Ok(True)
+
+    def apply(self, delta: CellDelta) -> Result[None, Failure]:
+        """Apply a delta and wake the tasks that wait for a change."""
+        version = self.version
+        applied = super().apply(delta)
+        if self.version != version:
+            self.available = self.find_available()
+            self.changed.notify()
+        return applied
+
+    def find_available(self) -> dict[ServiceName, tuple[UpstreamId, ...]]:
+        """Return the upstreams of each service that may get new work."""
+        found: dict[ServiceName, list[UpstreamId]] = {}
+        for upstream in self.upstreams.values():
+            session = self.sessions.get(upstream.session)
+            if (
+                upstream.state == UpstreamState.ADMITTED
+                and session is not None
+                and session.state == SessionState.OPEN
+            ):
+                found.setdefault(upstream.service, []).append(upstream.upstream)
+        return {service: tuple(names) for service, names in found.items()}
--- a/tests/requests/test_classification.py
+++ b/tests/requests/test_classification.py
@@ -1,34 +1,43 @@
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import pytest
 
 from multidict import CIMultiDict
 
 from sassafraswharf.codes import ResultCode
-from sassafraswharf.requests.classification import KeyDocument
-from sassafraswharf.requests.classification import ServiceDocument
 from sassafraswharf.requests.classification import compile_services
 from sassafraswharf.requests.classification import services_in_call_cycles
 
 
+if TYPE_CHECKING:
+    from sassafraswharf.configuration.documents import KeyRule
+    from sassafraswharf.configuration.documents import OperationDocument
+    from sassafraswharf.configuration.documents import ServiceDocument
+
+
+OPERATIONS: list[OperationDocument] = [
+    {"method": "GET", "path": "/items/*", "run": "repeatable"},
+    {"method": "GET", "path": "/items/new", "run": "repeatable"},
+    {"method": "POST", "path": "/items/*", "run": "at_most_once"},
+    {"method": "GET", "path": "/files/**", "run": "repeatable"},
+]
+
+
 def service(
-    name: str, prefix: str, key: KeyDocument | None, calls: tuple[str, ...] = ()
+    name: str, prefix: str, key: KeyRule | None, calls: tuple[str, ...] = ()
 ) -> ServiceDocument:
     return {
         "name": name,
         "prefix": prefix,
         "key": key,
         "slot_count": 4096,
-        "operations": {
-            "GET /items/{item}": "repeatable",
-            "GET /items/new": "repeatable",
-            "POST /items/{item}": "at_most_once",
-            "GET /files/*": "repeatable",
-        },
+        "operations": [*OPERATIONS],
         "deadline_s": 2.0,
         "max_body_bytes": 1000,
         "admit": "any",
-        "calls": calls,
+        "calls": [*calls],
     }
 
 
@@ -45,32 +54,32 @@
 @pytest.mark.parametrize(
     ("method", "path", "query", "headers", "expected"),
     [
-        ("GET", "/diary/items/a", "", [], ("diary", "GET /items/{item}", "a")),
+        ("GET", "/diary/items/a", "", [], ("diary", "GET /items/*", "a")),
         ("GET", "/diary/items/new", "", [], ("diary", "GET /items/new", "new")),
-        ("POST", "/diary/items/a/", "", [], ("diary", "POST /items/{item}", "a")),
-        ("POST", "/diary/items/new", "", [], ("diary", "POST /items/{item}", "new")),
-        ("GET", "/di%61ry/items/a%2Fb", "", [], ("diary", "GET /items/{item}", "a/b")),
-        ("GET", "/diary/files/x/y", "", [], ("diary", "GET /files/*", "x")),
+        ("POST", "/diary/items/a/", "", [], ("diary", "POST /items/*", "a")),
+        ("POST", "/diary/items/new", "", [], ("diary", "POST /items/*", "new")),
+        ("GET", "/di%61ry/items/a%2Fb", "", [], ("diary", "GET /items/*", "a/b")),
+        ("GET", "/diary/files/x/y", "", [], ("diary", "GET /files/**", "x")),
         (
             "GET",
             "/diary/items/deep/items/a",
             "",
             [],
-            ("inner", "GET /items/{item}", None),
+            ("inner", "GET /items/*", None),
         ),
         (
             "GET",
             "/ticket/items/1",
             "",
             [("counter", "7")],
-            ("ticket", "GET /items/{item}", "7"),
+            ("ticket", "GET /items/*", "7"),
         ),
         (
             "GET",
             "/ledger/items/1",
             "a=1&b%6Fok=x+y",
             [],
-            ("ledger", "GET /items/{item}", "x y"),
+            ("ledger", "GET /items/*", "x y"),
         ),
         ("GET", "/nothing", "", [], ResultCode.UNKNOWN_SERVICE),
         ("GET", "/diaryitems", "", [], ResultCode.UNKNOWN_SERVICE),
@@ -110,24 +119,23 @@
 
 
 @pytest.mark.parametrize(
-    ("prefixes", "operation"),
+    ("prefixes", "path"),
     [
-        (("/a", "/a/"), "GET /x"),
-        (("a",), "GET /x"),
-        (("/a",), "GET"),
-        (("/a",), "GET /*/x"),
-        (("/a",), "GET /items/{other}"),
+        (("/a", "/a/"), "/x"),
+        (("a",), "/x"),
+        (("/a",), ""),
+        (("/a",), "/**/x"),
+        (("/a",), "/items/*"),
     ],
 )
 def test_conflicting_documents_are_refused(
-    prefixes: tuple[str, ...], operation: str
+    prefixes: tuple[str, ...], path: str
 ) -> None:
     """Guards against two declarations that claim the same request."""
     documents = [service("s", prefix, None) for prefix in prefixes]
-    documents[0]["operations"] = {
-        **documents[0]["operations"],
-        operation: "at_most_once",
-    }
+    documents[0]["operations"].append(
+        {"method": "GET", "path": path, "run": "at_most_once"}
+    )
     code = compile_services(documents).unwrap_err().code
     assert code is ResultCode.CONFIGURATION_INVALID
 
