--- /dev/null
+++ b/src/sassafraswharf/journal/__init__.py
@@ -0,0 +1,3 @@
+"""Intents and outcomes of requests that run at most once."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/sassafraswharf/journal/intent.py
@@ -0,0 +1,104 @@
+"""The records of the journal and the rule that decides between two of them.
+
+msgspec reads the annotations at run time, so their names are imported at run
+time as well.
+"""
+
+from __future__ import annotations
+
+from enum import IntEnum
+from typing import NamedTuple
+
+from sassafraswharf.identifiers import ServiceName  # noqa: TC001
+from sassafraswharf.identifiers import SessionId  # noqa: TC001
+
+
+class RecordState(IntEnum):
+    """What is known of an attempt."""
+
+    INTENT = 0
+    """The attempt may have been dispatched."""
+
+    NOT_RUN = 1
+    """The attempt was certainly not run; a resend may run."""
+
+    CLOSED = 2
+    """No attempt has run and none will: the refusal of the key is final."""
+
+    RAN = 3
+    """The attempt ran, but its answer was too large to keep."""
+
+    ANSWER = 4
+    """The attempt ran and its answer is kept."""
+
+
+class JournalKey(NamedTuple):
+    """The identity of a record: an idempotency key within a slot."""
+
+    service: ServiceName
+    slot: int
+    idempotency_key: str
+
+
+class Intent(NamedTuple):
+    """The declaration that an attempt is about to be dispatched.
+
+    ``attempt`` counts from 1 and increases only after the previous attempt was
+    certainly not run. ``body_digest`` covers everything that makes two requests
+    the same one: method, path, query and body.
+    """
+
+    service: ServiceName
+    slot: int
+    idempotency_key: str
+    body_digest: bytes
+    epoch: int
+    owner: SessionId
+    attempt: int
+
+
+class Record(NamedTuple):
+    """The newest state of a key as a member of a journal set holds it."""
+
+    service: ServiceName
+    slot: int
+    idempotency_key: str
+    body_digest: bytes
+    epoch: int
+    owner: SessionId
+    attempt: int
+    state: RecordState
+    answer: bytes
+
+    @property
+    def key(self) -> JournalKey:
+        """The identity of the record."""
+        return JournalKey(self.service, self.slot, self.idempotency_key)
+
+    @property
+    def precedence(self) -> tuple[RecordState, int, int, RecordState]:
+        """Which of two records of a key is believed: the greater one.
+
+        An attempt that ran stays so under any epoch. Otherwise the owner of
+        the higher epoch decides, because it has merged a quorum of the lower
+        one: what it did not find there was never dispatched. Within an epoch a
+        later attempt implies that the earlier one did not run, and an outcome
+        beats the intent of the same attempt.
+        """
+        ran = self.state if self.state >= RecordState.RAN else RecordState.INTENT
+        return (ran, self.epoch, self.attempt, self.state)
+
+    @property
+    def size(self) -> int:
+        """The bytes that count towards the limit of a member."""
+        text = len(self.service) + len(self.idempotency_key)
+        return RECORD_OVERHEAD_BYTES + text + len(self.body_digest) + len(self.answer)
+
+
+RECORD_OVERHEAD_BYTES = 400
+"""Objects, dictionary and heap entries of one record in CPython."""
+
+
+def record_of(intent: Intent) -> Record:
+    """Return the record of an intent without an outcome."""
+    return Record(*intent, state=RecordState.INTENT, answer=b"")
--- /dev/null
+++ b/src/sassafraswharf/journal/journal_quorum.py
@@ -0,0 +1,333 @@
+"""The owner's side of the journal: what to record where, and when it counts.
+
+The router calls the methods, then drains :meth:`JournalQuorum.take_batches` and
+:meth:`JournalQuorum.take_events`. It calls :meth:`JournalQuorum.lookup` before
+admission, :meth:`JournalQuorum.begin` when admission lets the request start,
+and :meth:`JournalQuorum.dispatch` right before it sends the request.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from result import Err
+from result import Ok
+from result import Result
+
+from sassafraswharf.codes import ResultCode
+from sassafraswharf.failure import Failure
+from sassafraswharf.journal.decision import BY_STATE
+from sassafraswharf.journal.decision import ON_QUORUM
+from sassafraswharf.journal.decision import UNDISPATCHED
+from sassafraswharf.journal.decision import Decision
+from sassafraswharf.journal.decision import EventKind
+from sassafraswharf.journal.decision import JournalDecision
+from sassafraswharf.journal.decision import JournalEvent
+from sassafraswharf.journal.decision import Phase
+from sassafraswharf.journal.decision import SlotState
+from sassafraswharf.journal.intent import Intent
+from sassafraswharf.journal.intent import RecordState
+from sassafraswharf.journal.intent import record_of
+from sassafraswharf.journal.replication import Replication
+from sassafraswharf.journal.replication import version
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Sequence
+
+    from sassafraswharf.identifiers import ServiceName
+    from sassafraswharf.identifiers import SessionId
+    from sassafraswharf.journal.intent import JournalKey
+    from sassafraswharf.journal.intent import Record
+    from sassafraswharf.journal.journal_store import JournalStore
+    from sassafraswharf.journal.messages import AgedRecord
+    from sassafraswharf.journal.messages import JournalBatch
+    from sassafraswharf.journal.messages import JournalReply
+
+
+class Attempt:
+    """An attempt that this process has started and not finished."""
+
+    __slots__ = ("deadline_at", "phase", "record", "refusals")
+
+    def __init__(self, phase: Phase, record: Record, deadline_at: float) -> None:
+        self.phase = phase
+        self.record = record
+        self.deadline_at = deadline_at
+        self.refusals: set[SessionId] = set()
+
+
+class JournalQuorum:
+    """The journal of one session as the owner of slots.
+
+    An intent is decided when a write quorum of the set holds it, the owner
+    included, and the peers that count hold all earlier records as well.
+    """
+
+    def __init__(self, session: SessionId, store: JournalStore) -> None:
+        self.session = session
+        self.store = store
+        self.replication = Replication(session, store)
+        self.slots: dict[tuple[ServiceName, int], SlotState] = {}
+        self.attempts: dict[JournalKey, Attempt] = {}
+        self.events: list[JournalEvent] = []
+        store.sessions.add(session)
+
+    def set_peers(
+        self, generation: int, peers: Sequence[SessionId], now: float
+    ) -> None:
+        """Use a new journal set; older generations are ignored."""
+        if self.replication.set_peers(generation, peers, self.attempts):
+            for attempt in self.attempts.values():
+                attempt.refusals.clear()
+            self._advance_all(now)
+
+    def own(
+        self,
+        service: ServiceName,
+        slots: Iterable[int],
+        epoch: int,
+        ready: bool,
+        unavailable: bool = False,
+    ) -> None:
+        """Note that this session owns slots, and whether they are taken over."""
+        for slot in slots:
+            known = self.slots.get((service, slot))
+            if known is None or known.epoch <= epoch:
+                self.slots[service, slot] = SlotState(epoch, ready, unavailable)
+
+    def disown(self, service: ServiceName, slots: Iterable[int], now: float) -> None:
+        """Note that slots are closing or lost; undispatched attempts fail."""
+        lost = {(service, slot) for slot in slots}
+        for slot in lost:
+            self.slots.pop(slot, None)
+        for key, attempt in list(self.attempts.items()):
+            if key[:2] in lost and attempt.phase in UNDISPATCHED:
+                self._fail(key, ResultCode.NOT_OWNER, now)
+
+    def lookup(self, key: JournalKey, digest: bytes, now: float) -> JournalDecision:
+        """Return what to do with a request, without changing anything.
+
+        After ``WAIT`` the router looks up again when an event names the key or
+        when the slot becomes ready, and at the deadline answers 3204 while the
+        slot is not ready and 3201 otherwise.
+        """
+        slot = self.slots.get(key[:2])
+        if slot is None:
+            return JournalDecision(Decision.REFUSED, ResultCode.NOT_OWNER)
+        if slot.unavailable:
+            return JournalDecision(Decision.UNKNOWN, ResultCode.JOURNAL_UNAVAILABLE)
+        if not slot.ready:
+            return JournalDecision(Decision.WAIT, ResultCode.OK)
+        record = self.store.get(key, now)
+        if record is None:
+            if self.store.is_full(now):
+                return JournalDecision(Decision.REFUSED, ResultCode.JOURNAL_FULL)
+            return JournalDecision(Decision.RUN, ResultCode.OK)
+        if record.body_digest != digest:
+            code = ResultCode.IDEMPOTENCY_KEY_MISMATCH
+            return JournalDecision(Decision.MISMATCH, code)
+        attempt = self.attempts.get(key)
+        if attempt is not None and record.state < RecordState.RAN:
+            return JournalDecision(Decision.WAIT, ResultCode.OK)
+        return BY_STATE[record.state]._replace(answer=record.answer)
+
+    def begin(
+        self, key: JournalKey, digest: bytes, deadline_at: float, now: float
+    ) -> Result[None, Failure]:
+        """Record the intent of an attempt; ``DECIDED`` or ``FAILED`` follows.
+
+        Fails with the code of :meth:`lookup` if that is no longer ``RUN``.
+        """
+        return self._begin(key, digest, RecordState.INTENT, deadline_at, now)
+
+    def close(
+        self, key: JournalKey, digest: bytes, deadline_at: float, now: float
+    ) -> Result[None, Failure]:
+        """Record that the key never runs; ``CLOSED`` or ``FAILED`` follows.
+
+        Only after ``CLOSED`` may a caller be told "not run" of the key: without
+        a record an earlier attempt that was delayed on its way could run later.
+        """
+        return self._begin(key, digest, RecordState.CLOSED, deadline_at, now)
+
+    def dispatch(self, key: JournalKey, now: float) -> Result[int, Failure]:
+        """Return the epoch under which the request is sent at this moment.
+
+        After a failure the attempt has ended and was not run. The deadline is
+        checked here because a process that was frozen after the decision may
+        resume when the record of the intent is no longer retained anywhere.
+        """
+        attempt = self.attempts.get(key)
+        if attempt is None or attempt.phase is not Phase.DECIDED:
+            return _failed(ResultCode.NOT_RUN)
+        slot = self.slots.get(key[:2])
+        if slot is None or slot.epoch != attempt.record.epoch:
+            self._abandon(key, now)
+            return _failed(ResultCode.NOT_OWNER)
+        if attempt.deadline_at <= now:
+            self._abandon(key, now)
+            return _failed(ResultCode.DEADLINE_EXPIRED)
+        attempt.phase = Phase.DISPATCHED
+        return Ok(attempt.record.epoch)
+
+    def conclude(
+        self, key: JournalKey, state: RecordState, answer: bytes, now: float
+    ) -> bool:
+        """Record how a dispatched attempt ended; return whether to wait.
+
+        ``INTENT`` stands for an unknown outcome and leaves the record as it is.
+        After ``True`` the event ``CONCLUDED`` follows. A router that gets none
+        in time answers all the same: the answer is the true one.
+        """
+        attempt = self.attempts.get(key)
+        if attempt is None or attempt.phase is not Phase.DISPATCHED:
+            return False
+        if state is RecordState.INTENT:
+            del self.attempts[key]
+            return False
+        attempt.record = attempt.record._replace(state=state, answer=answer)
+        attempt.phase = Phase.CONCLUDING
+        if self.store.record_outcome(attempt.record, now).is_err():
+            del self.attempts[key]
+            return False
+        attempt.record = self.store.get(key, now) or attempt.record
+        self.replication.recorded(key)
+        self._advance(key)
+        return True
+
+    def abandon(self, key: JournalKey, now: float) -> bool:
+        """End an undispatched attempt; return whether it was certainly not run."""
+        attempt = self.attempts.get(key)
+        if attempt is None or attempt.phase not in UNDISPATCHED:
+            return False
+        self._abandon(key, now)
+        return True
+
+    def expire(self, now: float) -> None:
+        """Fail the undecided attempts and closures whose deadline has passed."""
+        for key, attempt in list(self.attempts.items()):
+            if attempt.deadline_at > now:
+                continue
+            if attempt.phase is Phase.CONCLUDING:
+                del self.attempts[key]
+            elif attempt.phase is not Phase.DISPATCHED:
+                self._fail(key, ResultCode.DEADLINE_EXPIRED, now)
+
+    def adopt(
+        self, records: Iterable[AgedRecord], epoch: int, now: float
+    ) -> Result[tuple[JournalKey, ...], Failure]:
+        """Take merged records over under this owner's epoch and copy them on."""
+        mine = [
+            aged._replace(record=aged.record._replace(owner=self.session, epoch=epoch))
+            for aged in records
+        ]
+        copied = self.store.copy_in(mine, now)
+        if isinstance(copied, Err):
+            return copied
+        for aged in mine:
+            self.replication.recorded(aged.record.key)
+        return Ok(tuple(aged.record.key for aged in mine))
+
+    def is_copied(self, keys: Iterable[JournalKey]) -> bool:
+        """Return whether a write quorum of the set holds all the keys."""
+        return self.replication.is_copied(keys)
+
+    def take_batches(self, now: float) -> list[JournalBatch]:
+        """Return what to send now, at most one batch per peer."""
+        return self.replication.take_batches(now)
+
+    def on_reply(self, batch: JournalBatch, reply: JournalReply, now: float) -> None:
+        """Count the acknowledgements of a batch."""
+        for record, code in self.replication.on_reply(batch, reply, now):
+            if code is not ResultCode.OK:
+                self._refused(batch.member, record, code, now)
+        self._advance_all(now)
+
+    def on_send_failed(self, batch: JournalBatch) -> None:
+        """Queue the records of a lost batch again; the router sets the pace."""
+        self.replication.on_send_failed(batch)
+
+    def take_events(self) -> list[JournalEvent]:
+        """Return what happened since the last call."""
+        events, self.events = self.events, []
+        return events
+
+    def _begin(
+        self,
+        key: JournalKey,
+        digest: bytes,
+        state: RecordState,
+        deadline_at: float,
+        now: float,
+    ) -> Result[None, Failure]:
+        found = self.lookup(key, digest, now)
+        if found.decision is not Decision.RUN:
+            return _failed(found.code)
+        if deadline_at <= now:
+            return _failed(ResultCode.DEADLINE_EXPIRED)
+        known = self.store.get(key, now)
+        number = 1 if known is None else known.attempt + 1
+        epoch = self.slots[key[:2]].epoch
+        record = record_of(Intent(*key, digest, epoch, self.session, number))
+        record = record._replace(state=state)
+        recorded = self.store.record_outcome(record, now)
+        if isinstance(recorded, Err):
+            return recorded
+        phase = Phase.CLOSING if state is RecordState.CLOSED else Phase.RECORDING
+        self.attempts[key] = Attempt(phase, record, deadline_at)
+        self.replication.recorded(key)
+        self._advance(key)
+        return Ok(None)
+
+    def _refused(
+        self, member: SessionId, record: Record, code: ResultCode, now: float
+    ) -> None:
+        attempt = self.attempts.get(record.key)
+        if attempt is None or version(attempt.record) != version(record):
+            return
+        if attempt.phase not in {Phase.RECORDING, Phase.CLOSING}:
+            return
+        attempt.refusals.add(member)
+        sealed = code is ResultCode.STALE_EPOCH
+        if sealed or not self.replication.can_be_copied(len(attempt.refusals)):
+            self._fail(record.key, code, now)
+
+    def _advance_all(self, now: float) -> None:
+        for key, attempt in list(self.attempts.items()):
+            if attempt.deadline_at <= now and attempt.phase is Phase.RECORDING:
+                self._fail(key, ResultCode.DEADLINE_EXPIRED, now)
+            else:
+                self._advance(key)
+
+    def _advance(self, key: JournalKey) -> None:
+        attempt = self.attempts[key]
+        if attempt.phase not in ON_QUORUM or not self.is_copied((key,)):
+            return
+        phase, event = ON_QUORUM[attempt.phase]
+        if phase is None:
+            del self.attempts[key]
+        else:
+            attempt.phase = phase
+        self.events.append(JournalEvent(event, key, ResultCode.OK))
+
+    def _fail(self, key: JournalKey, code: ResultCode, now: float) -> None:
+        self._abandon(key, now)
+        self.events.append(JournalEvent(EventKind.FAILED, key, code))
+
+    def _abandon(self, key: JournalKey, now: float) -> None:
+        """Replace an undispatched intent, or an undecided closure, by NOT_RUN.
+
+        A closure needs a higher attempt number to be replaced, because it has
+        precedence over NOT_RUN of the same attempt.
+        """
+        record = self.attempts.pop(key).record
+        number = record.attempt + (record.state is RecordState.CLOSED)
+        record = record._replace(state=RecordState.NOT_RUN, attempt=number)
+        if self.store.record_outcome(record, now).is_ok():
+            self.replication.recorded(key)
+
+
+def _failed(code: ResultCode) -> Err[Failure]:
+    return Err(Failure(code, "the attempt was not run"))
--- /dev/null
+++ b/src/sassafraswharf/journal/journal_store.py
@@ -0,0 +1,241 @@
+"""The records that one process holds as a member of journal sets."""
+
+from __future__ import annotations
+
+from heapq import heappop
+from heapq import heappush
+from typing import TYPE_CHECKING
+
+from result import Err
+from result import Ok
+from result import Result
+
+from sassafraswharf.codes import ResultCode
+from sassafraswharf.failure import Failure
+from sassafraswharf.journal.intent import Intent
+from sassafraswharf.journal.intent import JournalKey
+from sassafraswharf.journal.intent import Record
+from sassafraswharf.journal.intent import RecordState
+from sassafraswharf.journal.intent import record_of
+from sassafraswharf.journal.messages import AgedRecord
+from sassafraswharf.journal.messages import JournalBatch
+from sassafraswharf.journal.messages import JournalReply
+from sassafraswharf.journal.messages import Seal
+from sassafraswharf.journal.messages import SealReply
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Iterator
+    from collections.abc import Sequence
+
+    from sassafraswharf.identifiers import ServiceName
+    from sassafraswharf.identifiers import SessionId
+
+
+RETENTION_S = 600.0
+# Clock rates may differ by 5%, and no host may drop a record before 600 s have
+# passed on any other one.
+KEEP_S = RETENTION_S / 0.95
+MAX_BYTES = 16 * 1024 * 1024
+# New intents stop at three quarters, so that a takeover still finds room.
+MAX_INTENT_BYTES = MAX_BYTES * 3 // 4
+MAX_ANSWER_BYTES = 4096
+LARGEST_INTENT_BYTES = 1024
+MAX_SLOTS = 65_536
+FIRST_GENERATION = 1
+
+
+class JournalStore:
+    """A member's records, in memory, for all journal sets it belongs to.
+
+    The store lives as long as its process and keeps its records when the host
+    opens another session, so that a host that was frozen still counts as the
+    member it was. A restarted process has an empty store and other sessions,
+    so it is never mistaken for the member that lost its records.
+    """
+
+    def __init__(self) -> None:
+        self.sessions: set[SessionId] = set()
+        self.slots: dict[tuple[ServiceName, int], dict[JournalKey, Record]] = {}
+        self.recorded_at: dict[JournalKey, float] = {}
+        self.expiries: list[tuple[float, JournalKey]] = []
+        self.sealed_epochs: dict[tuple[ServiceName, int], int] = {}
+        self.complete_generations: dict[SessionId, int] = {}
+        self.bytes = 0
+
+    def handle(self, batch: JournalBatch, now: float) -> JournalReply:
+        """Apply a batch and return its reply; repeating it changes nothing."""
+        codes = tuple(int(code) for code in self._apply_records(batch, now))
+        seals = tuple(self.seal(seal, now) for seal in batch.seals)
+        return JournalReply(codes, seals)
+
+    def record_intent(self, intent: Intent, now: float) -> Result[None, Failure]:
+        """Keep an intent.
+
+        The failures are 3005 if the key belongs to another body, 3108 if the
+        store is full, 3201 if the key has an outcome and 4003 after a seal.
+        """
+        return self._result(self._put(record_of(intent), 0.0, MAX_INTENT_BYTES, now))
+
+    def record_outcome(self, record: Record, now: float) -> Result[None, Failure]:
+        """Keep an outcome, without its answer if that is too large."""
+        return self._result(self._put(record, 0.0, MAX_BYTES, now))
+
+    def copy_in(
+        self, records: Sequence[AgedRecord], now: float
+    ) -> Result[None, Failure]:
+        """Keep records that a takeover has merged."""
+        for record, age_s in records:
+            code = self._put(record, age_s, MAX_BYTES, now)
+            if code is not ResultCode.OK:
+                return self._result(code)
+        return Ok(None)
+
+    def seal(self, seal: Seal, now: float) -> SealReply:
+        """Refuse older epochs of the slots from now on; return their records."""
+        self.drop_expired(now)
+        if sum(length for _, length in seal.runs) > MAX_SLOTS:
+            return SealReply(ResultCode.MESSAGE_MALFORMED, False, ())
+        slots = [(seal.service, slot) for slot in _slots(seal.runs)]
+        if any(self.sealed_epochs.get(slot, 0) > seal.epoch for slot in slots):
+            return SealReply(ResultCode.STALE_EPOCH, False, ())
+        records: list[AgedRecord] = []
+        for slot in slots:
+            self.sealed_epochs[slot] = seal.epoch
+            for key, record in self.slots.get(slot, {}).items():
+                records.append(AgedRecord(record, now - self.recorded_at[key]))
+        return SealReply(ResultCode.OK, self._counts(seal), tuple(records))
+
+    def get(self, key: JournalKey, now: float) -> Record | None:
+        """Return the record of a key that is still retained."""
+        recorded_at = self.recorded_at.get(key)
+        if recorded_at is None or now - recorded_at >= KEEP_S:
+            return None
+        return self.slots[key[:2]][key]
+
+    def records_of(self, owner: SessionId) -> Iterator[Record]:
+        """Return the records that belong to an owner."""
+        for records in self.slots.values():
+            for record in records.values():
+                if record.owner == owner:
+                    yield record
+
+    def age_s(self, key: JournalKey, now: float) -> float:
+        """Return how long ago the newest state of a key was recorded."""
+        return max(0.0, now - self.recorded_at.get(key, now))
+
+    def is_full(self, now: float) -> bool:
+        """Return whether new intents are refused."""
+        self.drop_expired(now)
+        return self.bytes + LARGEST_INTENT_BYTES > MAX_INTENT_BYTES
+
+    def drop_expired(self, now: float) -> None:
+        """Drop the records whose retention time has passed."""
+        while self.expiries and self.expiries[0][0] <= now:
+            key = heappop(self.expiries)[1]
+            recorded_at = self.recorded_at.get(key)
+            if recorded_at is None or recorded_at + KEEP_S > now:
+                continue
+            del self.recorded_at[key]
+            records = self.slots[key[:2]]
+            self.bytes -= records.pop(key).size
+            if not records:
+                del self.slots[key[:2]]
+
+    def is_sealed(self, record: Record) -> bool:
+        """Return whether a newer epoch has sealed the slot of a record."""
+        sealed_epoch = self.sealed_epochs.get((record.service, record.slot), 0)
+        return record.epoch < sealed_epoch
+
+    def _apply_records(self, batch: JournalBatch, now: float) -> Iterable[ResultCode]:
+        if not batch.records and not batch.complete:
+            return []
+        if batch.member not in self.sessions:
+            return [ResultCode.SESSION_CLOSED] * max(1, len(batch.records))
+        known = self.complete_generations.get(batch.owner, 0)
+        if batch.generation < known or not (
+            batch.complete or batch.generation == known
+        ):
+            return [ResultCode.STALE_TABLE_VERSION] * max(1, len(batch.records))
+        codes = []
+        for record, age_s in batch.records:
+            intent = record.state is RecordState.INTENT and not batch.complete
+            limit = MAX_INTENT_BYTES if intent else MAX_BYTES
+            codes.append(self._put(record, age_s, limit, now))
+        # A full store leaves a gap, so the member must not count. After any
+        # other refusal it holds a stronger record or a newer owner has the slot.
+        if batch.complete and ResultCode.JOURNAL_FULL not in codes:
+            self.complete_generations[batch.owner] = batch.generation
+        return codes
+
+    def _counts(self, seal: Seal) -> bool:
+        if seal.member not in self.sessions:
+            return False
+        if seal.source in self.sessions:
+            return True
+        known = self.complete_generations.get(seal.source, 0)
+        # A member of the first generation that was never complete has
+        # acknowledged nothing, so nothing was decided with its help.
+        return known >= seal.generation or seal.generation == FIRST_GENERATION
+
+    def _put(
+        self, record: Record, age_s: float, max_bytes: int, now: float
+    ) -> ResultCode:
+        self.drop_expired(now)
+        if self.is_sealed(record):
+            return ResultCode.STALE_EPOCH
+        key = record.key
+        known = self.get(key, now)
+        if known is not None:
+            conflict = _conflict(known, record)
+            if conflict is not None:
+                return conflict
+        record = self._fitted(record, known)
+        growth = record.size - (known.size if known is not None else 0)
+        if known is None and self.bytes + growth > max_bytes:
+            return ResultCode.JOURNAL_FULL
+        self.bytes += growth
+        self.slots.setdefault(key[:2], {})[key] = record
+        if known is None or known.precedence < record.precedence:
+            self.recorded_at[key] = now - max(0.0, age_s)
+            heappush(self.expiries, (self.recorded_at[key] + KEEP_S, key))
+        return ResultCode.OK
+
+    def _fitted(self, record: Record, known: Record | None) -> Record:
+        """Return the record without an answer for which there is no room.
+
+        The outcome itself always fits, because its intent has taken the room.
+        """
+        if record.state is not RecordState.ANSWER:
+            return record
+        growth = record.size - (known.size if known is not None else 0)
+        if len(record.answer) <= MAX_ANSWER_BYTES and self.bytes + growth <= MAX_BYTES:
+            return record
+        return record._replace(state=RecordState.RAN, answer=b"")
+
+    def _result(self, code: ResultCode) -> Result[None, Failure]:
+        if code is ResultCode.OK:
+            return Ok(None)
+        return Err(Failure(code, "the journal refused the record"))
+
+
+def _conflict(known: Record, record: Record) -> ResultCode | None:
+    """Return why a record can't replace a known one, ``None`` if it can.
+
+    A known record of a lower epoch with another body was never decided, since
+    the owner of the higher epoch would have found it, so it is replaced.
+    """
+    ran = known.state >= RecordState.RAN
+    if known.body_digest != record.body_digest and (ran or known.epoch >= record.epoch):
+        return ResultCode.IDEMPOTENCY_KEY_MISMATCH
+    if known.precedence <= record.precedence:
+        return None
+    if known.epoch == record.epoch:
+        return ResultCode.OK
+    return ResultCode.OUTCOME_UNKNOWN if ran else ResultCode.STALE_EPOCH
+
+
+def _slots(runs: Iterable[tuple[int, int]]) -> Iterable[int]:
+    for start, length in runs:
+        yield from range(start, start + length)
--- /dev/null
+++ b/src/sassafraswharf/journal/takeover.py
@@ -0,0 +1,177 @@
+"""How a new owner of slots takes over the records of the owners before it."""
+
+from __future__ import annotations
+
+from enum import Enum
+from enum import auto
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from sassafraswharf.codes import ResultCode
+from sassafraswharf.journal.journal_store import KEEP_S
+from sassafraswharf.journal.messages import AgedRecord
+from sassafraswharf.journal.messages import JournalBatch
+from sassafraswharf.journal.messages import Seal
+from sassafraswharf.journal.replication import read_quorum
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Sequence
+
+    from sassafraswharf.identifiers import ServiceName
+    from sassafraswharf.identifiers import SessionId
+    from sassafraswharf.journal.intent import JournalKey
+    from sassafraswharf.journal.journal_quorum import JournalQuorum
+    from sassafraswharf.journal.messages import JournalReply
+
+
+UNAVAILABLE_AFTER_S = 1.0
+
+
+class JournalSet(NamedTuple):
+    """The members of the journal set of a session, that session included.
+
+    It must come from a table at least as new as the epoch of the takeover: an
+    older table may name a generation that no longer holds all records.
+    Generation 0 says that the session never had a set.
+    """
+
+    session: SessionId
+    generation: int
+    members: tuple[SessionId, ...]
+
+
+class TakeOverPhase(Enum):
+    """How far a takeover is."""
+
+    SEALING = auto()
+    COPYING = auto()
+    READY = auto()
+    LOST = auto()
+
+
+class TakeOver:
+    """Seals the sources, merges their records and copies them to the new set.
+
+    The phase ``READY`` tells the router to propose ``JournalReady``; once that
+    is committed it marks the slots with :meth:`JournalQuorum.own`. ``LOST`` says
+    that a newer epoch has sealed the slots. Without a read quorum of every
+    source the slots become unavailable after 1 s, and ready when the retention
+    time has passed since the start.
+    """
+
+    def __init__(
+        self,
+        service: ServiceName,
+        runs: Sequence[tuple[int, int]],
+        epoch: int,
+        sources: Iterable[JournalSet],
+        quorum: JournalQuorum,
+        now: float,
+    ) -> None:
+        self.service = service
+        self.runs = tuple(runs)
+        self.epoch = epoch
+        self.quorum = quorum
+        self.started_at = now
+        self.phase = TakeOverPhase.SEALING
+        self.sources = [source for source in sources if source.generation > 0]
+        self.sealed: dict[SessionId, set[SessionId]] = {
+            source.session: set() for source in self.sources
+        }
+        self.merged: dict[JournalKey, AgedRecord] = {}
+        self.copied: tuple[JournalKey, ...] = ()
+        quorum.own(service, self.slots(), epoch, ready=False)
+        self._seal_own_store(now)
+        self.advance(now)
+
+    def slots(self) -> Iterable[int]:
+        """Return the slots that are taken over."""
+        return (slot for start, n in self.runs for slot in range(start, start + n))
+
+    def batches(self) -> list[JournalBatch]:
+        """Return the seals that are still unanswered, one batch per member."""
+        if self.phase is not TakeOverPhase.SEALING:
+            return []
+        seals: dict[SessionId, list[Seal]] = {}
+        for source in self.sources:
+            for member in source.members:
+                if member not in self.sealed[source.session]:
+                    seals.setdefault(member, []).append(self._seal(source, member))
+        session = self.quorum.session
+        return [
+            JournalBatch(session, member, 0, False, (), tuple(found))
+            for member, found in seals.items()
+        ]
+
+    def on_reply(self, batch: JournalBatch, reply: JournalReply, now: float) -> None:
+        """Use the replies to the seals of a batch."""
+        if self.phase is not TakeOverPhase.SEALING:
+            return
+        for seal, answer in zip(batch.seals, reply.seals, strict=False):
+            if answer.code == ResultCode.STALE_EPOCH:
+                self.phase = TakeOverPhase.LOST
+                return
+            if answer.code != ResultCode.OK or seal.source not in self.sealed:
+                continue
+            self._merge(answer.records)
+            if answer.counts:
+                self.sealed[seal.source].add(seal.member)
+        self.advance(now)
+
+    def advance(self, now: float) -> None:
+        """Move on as far as replies, copies and time allow."""
+        waited_s = now - self.started_at
+        if self.phase is TakeOverPhase.SEALING:
+            if self.is_sealed() or waited_s >= KEEP_S:
+                self._copy(now)
+            elif waited_s >= UNAVAILABLE_AFTER_S:
+                slots = self.slots()
+                self.quorum.own(self.service, slots, self.epoch, False, True)
+        if self.phase is TakeOverPhase.COPYING and self.quorum.is_copied(self.copied):
+            self.phase = TakeOverPhase.READY
+
+    def is_sealed(self) -> bool:
+        """Return whether every source can no longer decide an intent."""
+        return all(
+            len(self.sealed[source.session]) >= read_quorum(len(source.members))
+            for source in self.sources
+        )
+
+    def _copy(self, now: float) -> None:
+        adopted = self.quorum.adopt(self.merged.values(), self.epoch, now)
+        if adopted.is_ok():
+            self.copied = adopted.unwrap()
+            self.phase = TakeOverPhase.COPYING
+            self.quorum.own(self.service, self.slots(), self.epoch, ready=False)
+        elif adopted.unwrap_err().code is ResultCode.STALE_EPOCH:
+            self.phase = TakeOverPhase.LOST
+
+    def _seal_own_store(self, now: float) -> None:
+        # The own store is sealed even outside the source sets: a record it
+        # holds may have precedence over the merged one.
+        session = self.quorum.session
+        own = JournalSet(session, 1, (session,))
+        reply = self.quorum.store.seal(self._seal(own, session), now)
+        if reply.code == ResultCode.STALE_EPOCH:
+            self.phase = TakeOverPhase.LOST
+        self._merge(reply.records)
+        for source in self.sources:
+            for member in source.members:
+                seal = self._seal(source, member)
+                if self.quorum.store.seal(seal, now).counts:
+                    self.sealed[source.session].add(member)
+
+    def _seal(self, source: JournalSet, member: SessionId) -> Seal:
+        generation = source.generation
+        return Seal(
+            self.service, self.runs, self.epoch, source.session, generation, member
+        )
+
+    def _merge(self, records: Iterable[AgedRecord]) -> None:
+        for aged in records:
+            key = aged.record.key
+            known = self.merged.get(key)
+            if known is None or known.record.precedence < aged.record.precedence:
+                self.merged[key] = aged
--- /dev/null
+++ b/src/sassafraswharf/quarantine/local_watch.py
@@ -0,0 +1,145 @@
+"""The router's part of the quarantine: what runs where, and what is suspected."""
+
+from __future__ import annotations
+
+import hashlib
+
+from enum import Enum
+from enum import auto
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from sassafraswharf.identifiers import UpstreamId
+
+
+SUSPECT_S = 600.0
+MAX_SUSPECTS = 10_000
+
+
+class Treatment(Enum):
+    """How a request may be run."""
+
+    NORMAL = auto()
+    ALONE = auto()
+    REFUSED = auto()
+
+
+class CrashReport(NamedTuple):
+    """What to report to the cell when an upstream's process has died."""
+
+    upstream: UpstreamId
+    digests: tuple[bytes, ...]
+    alone: bool
+
+
+class LocalWatch:
+    """Watches the upstreams beside one router.
+
+    The digests that ran when an upstream died become suspects here at once and
+    on the other routers when the cell has spread them. A digest that ran alone
+    when it died is refused here without waiting for its conviction by the cell.
+    Several requests with one digest beside each other are not alone.
+    """
+
+    def __init__(self) -> None:
+        self.running: dict[UpstreamId, dict[int, bytes]] = {}
+        self.alone: dict[UpstreamId, int] = {}
+        self.suspects: dict[bytes, float] = {}
+        self.convicted: dict[bytes, float] = {}
+
+    def treatment(self, digest: bytes, now: float) -> Treatment:
+        """Return how a request with this digest may be run."""
+        if self.convicted.get(digest, now) > now:
+            return Treatment.REFUSED
+        if self.suspects.get(digest, now) > now:
+            return Treatment.ALONE
+        return Treatment.NORMAL
+
+    def started(
+        self, upstream: UpstreamId, request_id: int, digest: bytes, alone: bool
+    ) -> None:
+        """Note a request right before it is sent to an upstream."""
+        self.running.setdefault(upstream, {})[request_id] = digest
+        if alone:
+            self.alone[upstream] = request_id
+
+    def finished(
+        self, upstream: UpstreamId, request_id: int, crashed: bool = False
+    ) -> bytes | None:
+        """Note the end of a request; return a digest that a solo run cleared.
+
+        A request whose connection was lost has ``crashed`` set: it is kept
+        until :meth:`upstream_died` or :meth:`upstream_lives` says which it was.
+        """
+        if crashed:
+            return None
+        digest = self.running.get(upstream, {}).pop(request_id, None)
+        if digest is None or self.alone.get(upstream) != request_id:
+            return None
+        del self.alone[upstream]
+        self.suspects.pop(digest, None)
+        return digest
+
+    def upstream_died(self, upstream: UpstreamId, now: float) -> CrashReport | None:
+        """Suspect what ran; return the report, ``None`` if nothing ran."""
+        running = self.running.pop(upstream, {})
+        alone = self.alone.pop(upstream, None) in running and len(running) == 1
+        if not running:
+            return None
+        digests = tuple(sorted(set(running.values())))
+        self._trim(now)
+        for digest in digests:
+            target = self.convicted if alone else self.suspects
+            target[digest] = now + SUSPECT_S
+        return CrashReport(upstream, digests, alone)
+
+    def upstream_lives(self, upstream: UpstreamId, request_id: int) -> None:
+        """Drop a request whose connection was lost while its upstream lived on."""
+        self.running.get(upstream, {}).pop(request_id, None)
+        if self.alone.get(upstream) == request_id:
+            del self.alone[upstream]
+
+    def spread(
+        self,
+        suspects: Iterable[tuple[bytes, float]],
+        convicted: Iterable[tuple[bytes, float]],
+        released: Iterable[bytes],
+        now: float,
+    ) -> None:
+        """Take over what the cell knows; the floats are seconds that remain."""
+        for digest, remaining_s in suspects:
+            self.suspects[digest] = now + remaining_s
+        for digest, remaining_s in convicted:
+            self.convicted[digest] = now + remaining_s
+        for digest in released:
+            self.suspects.pop(digest, None)
+            self.convicted.pop(digest, None)
+
+    def _trim(self, now: float) -> None:
+        for table in (self.suspects, self.convicted):
+            for digest in [d for d, until in table.items() if until <= now]:
+                del table[digest]
+            while len(table) >= MAX_SUSPECTS:
+                del table[next(iter(table))]
+
+
+def request_digest(method: str, path: str, query: str, body: bytes) -> bytes:
+    """Return the digest that identifies a request when it is sent again.
+
+    The lengths keep two different splits of the same text apart. Headers are
+    left out, because a caller's resend may differ in them. The hash is a
+    cryptographic one, so that nobody can make a request that convicts another.
+
+    >>> len(request_digest("POST", "/booking", "", b"{}"))
+    16
+    """
+    digest = hashlib.blake2b(digest_size=16)
+    texts = (text.encode(errors="surrogatepass") for text in (method, path, query))
+    for part in (*texts, body):
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.digest()
--- /dev/null
+++ b/tests/journal/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the journal of at-most-once requests."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/journal/fleet.py
@@ -0,0 +1,307 @@
+"""A fleet of routers with one slot, a wire that loses and reorders, an upstream.
+
+No router checks its lease here: the journal alone must prevent a second run.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import NamedTuple
+
+from sassafraswharf.identifiers import ServiceName
+from sassafraswharf.identifiers import SessionId
+from sassafraswharf.journal.decision import Decision
+from sassafraswharf.journal.decision import EventKind
+from sassafraswharf.journal.intent import JournalKey
+from sassafraswharf.journal.intent import RecordState
+from sassafraswharf.journal.journal_quorum import JournalQuorum
+from sassafraswharf.journal.journal_store import JournalStore
+from sassafraswharf.journal.messages import JournalBatch
+from sassafraswharf.journal.messages import JournalReply
+from sassafraswharf.journal.messages import decode_batch
+from sassafraswharf.journal.messages import decode_reply
+from sassafraswharf.journal.messages import encode
+from sassafraswharf.journal.takeover import JournalSet
+from sassafraswharf.journal.takeover import TakeOver
+from sassafraswharf.journal.takeover import TakeOverPhase
+
+
+SERVICE = ServiceName("booking")
+DEADLINE_S = 2.0
+
+
+class Call(NamedTuple):
+    target: SessionId
+    name: str
+    digest: bytes
+    close: bool
+
+
+class Reply(NamedTuple):
+    target: SessionId
+    batch: JournalBatch
+    reply: JournalReply
+
+
+class Router:
+    def __init__(self) -> None:
+        self.store = JournalStore()
+        self.frozen = False
+        self.epoch = 0
+        self.takeover: TakeOver | None = None
+        self.decided: list[JournalKey] = []
+        self.ended: list[tuple[JournalKey, RecordState, bytes]] = []
+
+    def open(self, session: SessionId) -> None:
+        self.session = session
+        self.quorum = JournalQuorum(session, self.store)
+        self.takeover = None
+        self.decided, self.ended = [], []
+
+
+class Fleet:
+    def __init__(self, size: int) -> None:
+        self.now = 0.0
+        self.last_session = 0
+        self.epoch = 0
+        self.routers = [Router() for _ in range(size)]
+        self.wire: list[JournalBatch | Reply | Call] = []
+        self.sets: dict[SessionId, JournalSet] = {}
+        self.sources: list[SessionId] = []
+        self.closed: set[SessionId] = set()
+        self.runs: Counter[str] = Counter()
+        self.ran: dict[tuple[str, bytes], bytes] = {}
+        self.not_run: set[str] = set()
+        self.faults: list[str] = []
+        self.words: list[tuple[str, str]] = []
+        for index in range(size):
+            self.open(index)
+        for index in range(size):
+            self.replace_peers(index)
+        self.owner: SessionId | None = None
+        self.reassign(0)
+        self.settle()
+
+    def open(self, index: int) -> None:
+        self.last_session += 1
+        self.routers[index].open(SessionId(self.last_session))
+
+    def at(self, session: SessionId) -> Router | None:
+        for router in self.routers:
+            if session in router.store.sessions:
+                return router
+        return None
+
+    # Steps of the cell.
+
+    def replace_peers(self, index: int, *others: int) -> None:
+        router = self.routers[index]
+        if router.session in self.closed:
+            return
+        count = len(self.routers)
+        others = others or tuple((index + step) % count for step in (1, 2))
+        peers = [self.routers[other].session for other in others]
+        known = self.sets.get(router.session)
+        generation = 1 if known is None else known.generation + 1
+        members = (router.session, *peers)
+        self.sets[router.session] = JournalSet(router.session, generation, members)
+        if not router.frozen:
+            router.quorum.set_peers(generation, peers, self.now)
+            self.pump(router)
+
+    def reassign(self, index: int) -> None:
+        router = self.routers[index]
+        if router.session in self.closed:
+            return
+        self.epoch += 1
+        if self.owner is not None and self.owner != router.session:
+            self.closed.add(self.owner)
+            if self.owner not in self.sources:
+                self.sources.append(self.owner)
+        self.owner = router.session
+        self.learn(index)
+
+    def learn(self, index: int) -> None:
+        router = self.routers[index]
+        if router.frozen or router.epoch >= self.epoch:
+            return
+        router.epoch = self.epoch
+        router.takeover = None
+        if router.session != self.owner:
+            router.quorum.disown(SERVICE, [0], self.now)
+        elif not self.sources:
+            router.quorum.own(SERVICE, [0], self.epoch, ready=True)
+        else:
+            sources = [self.sets[source] for source in self.sources]
+            router.takeover = TakeOver(
+                SERVICE, [(0, 1)], self.epoch, sources, router.quorum, self.now
+            )
+        self.pump(router)
+
+    # Steps of faults.
+
+    def freeze(self, index: int) -> None:
+        self.routers[index].frozen = True
+
+    def resume(self, index: int) -> None:
+        self.routers[index].frozen = False
+        self.pump(self.routers[index])
+
+    def kill(self, index: int) -> None:
+        self.closed.add(self.routers[index].session)
+        self.routers[index] = Router()
+        self.open(index)
+        self.replace_peers(index)
+
+    def reopen(self, index: int) -> None:
+        router = self.routers[index]
+        if not router.frozen and router.session in self.closed:
+            self.open(index)
+            self.replace_peers(index)
+
+    def drop(self, number: int) -> None:
+        if self.wire:
+            self.lose(self.wire.pop(number % len(self.wire)))
+
+    def lose(self, message: JournalBatch | Reply | Call) -> None:
+        batch = message if isinstance(message, JournalBatch) else None
+        if isinstance(message, Reply):
+            batch = message.batch
+        router = self.at(batch.owner) if batch is not None else None
+        if router is not None and batch is not None and router.session == batch.owner:
+            router.quorum.on_send_failed(batch)
+
+    def pass_time(self, seconds: float) -> None:
+        self.now += seconds
+        if seconds > 600:
+            # Callers resend only within the retention time, and the word they
+            # got counts within it.
+            self.wire = [m for m in self.wire if not isinstance(m, Call)]
+            self.not_run.clear()
+
+    # Steps of requests.
+
+    def call(
+        self, name: str, index: int, close: bool = False, digest: bytes = b"d"
+    ) -> None:
+        self.wire.append(Call(self.routers[index].session, name, digest, close))
+
+    def deliver(self, number: int = 0) -> bool:
+        for step in range(len(self.wire)):
+            place = (number + step) % len(self.wire)
+            message = self.wire[place]
+            batch = isinstance(message, JournalBatch)
+            router = self.at(message.member if batch else message.target)  # type: ignore[union-attr]
+            if router is None:
+                self.lose(self.wire.pop(place))
+                return True
+            if not router.frozen:
+                self.receive(router, self.wire.pop(place))
+                return True
+        return False
+
+    def receive(self, router: Router, message: JournalBatch | Reply | Call) -> None:
+        if isinstance(message, Call):
+            self.serve(router, message)
+        elif isinstance(message, Reply):
+            seals = message.batch.seals
+            if router.session == message.batch.owner and not seals:
+                router.quorum.on_reply(message.batch, message.reply, self.now)
+            elif router.takeover is not None and seals[0].epoch == router.epoch:
+                router.takeover.on_reply(message.batch, message.reply, self.now)
+        else:
+            batch = decode_batch(encode(message)).unwrap()
+            reply = decode_reply(encode(router.store.handle(batch, self.now))).unwrap()
+            self.wire.append(Reply(batch.owner, batch, reply))
+        self.pump(router)
+
+    def serve(self, router: Router, call: Call) -> None:
+        key = JournalKey(SERVICE, 0, call.name)
+        found = router.quorum.lookup(key, call.digest, self.now)
+        if found.decision is Decision.RUN:
+            start = router.quorum.close if call.close else router.quorum.begin
+            start(key, call.digest, self.now + DEADLINE_S, self.now)
+        elif found.decision is Decision.REPLAY:
+            self.say(call.name, "answer", found.answer)
+            if self.ran.get((call.name, found.answer)) != call.digest:
+                self.faults.append(f"{call.name}: replayed to another request")
+        elif found.not_run_key:
+            self.say(call.name, "not run key")
+        else:
+            self.say(call.name, found.decision.name)
+
+    def dispatch(self, index: int, refused: bool = False) -> None:
+        router = self.routers[index]
+        if router.frozen or not router.decided:
+            return
+        key = router.decided.pop(0)
+        if router.quorum.dispatch(key, self.now).is_ok():
+            name = key.idempotency_key
+            state, answer = RecordState.NOT_RUN, b""
+            if not refused:
+                self.runs[name] += 1
+                state, answer = RecordState.ANSWER, b"%d" % self.runs[name]
+                digest = router.quorum.attempts[key].record.body_digest
+                self.ran[name, answer] = digest
+            router.ended.append((key, state, answer))
+        self.pump(router)
+
+    def finish(self, index: int, lost: bool = False) -> None:
+        router = self.routers[index]
+        if router.frozen or not router.ended:
+            return
+        key, state, answer = router.ended.pop(0)
+        state = RecordState.INTENT if lost else state
+        router.quorum.conclude(key, state, answer, self.now)
+        if state is RecordState.ANSWER:
+            self.say(key.idempotency_key, "answer", answer)
+        self.pump(router)
+
+    def say(self, name: str, word: str, answer: bytes = b"") -> None:
+        self.words.append((name, word))
+        if word == "answer" and (name, answer) not in self.ran:
+            self.faults.append(f"{name}: answer {answer!r} of no run")
+        self.not_run.discard(name)
+        if word == "not run key":
+            self.not_run.add(name)
+
+    def poll(self, index: int) -> None:
+        router = self.routers[index]
+        if not router.frozen:
+            router.quorum.expire(self.now)
+            if router.takeover is not None:
+                router.takeover.advance(self.now)
+                self.wire += router.takeover.batches()
+            self.pump(router)
+
+    def settle(self) -> None:
+        for _ in range(4):
+            for index in range(len(self.routers)):
+                self.poll(index)
+            for _ in range(200):
+                if not self.deliver():
+                    break
+
+    def pump(self, router: Router) -> None:
+        if router.frozen:
+            return
+        takeover = router.takeover
+        if takeover is not None:
+            takeover.advance(self.now)
+            if takeover.phase is TakeOverPhase.READY and self.owner == router.session:
+                self.sources = []
+                router.takeover = None
+                router.quorum.own(SERVICE, [0], takeover.epoch, ready=True)
+        for event in router.quorum.take_events():
+            if event.kind is EventKind.DECIDED:
+                router.decided.append(event.key)
+            elif event.kind is EventKind.CLOSED:
+                self.say(event.key.idempotency_key, "not run key")
+            elif event.kind is EventKind.FAILED:
+                self.say(event.key.idempotency_key, "not run attempt")
+        self.wire += router.quorum.take_batches(self.now)
+
+    def violations(self) -> list[str]:
+        found = [f"{name} ran {n} times" for name, n in self.runs.items() if n > 1]
+        found += [f"{name} ran after not run" for name in self.not_run & set(self.runs)]
+        return found + self.faults
