--- /dev/null
+++ b/src/sassafraswharf_bench/sizing/__init__.py
@@ -0,0 +1,3 @@
+"""Capacity worked out from measured slopes."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/sassafraswharf_bench/slopes/mailboxes.py
@@ -0,0 +1,91 @@
+"""Processor time of a pynng Push0/Pull0 message at both ends."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import sys
+import time
+
+from typing import Any
+
+import pynng
+
+from sassafraswharf_bench.slopes import wire
+from sassafraswharf_bench.slopes.child import Child
+from sassafraswharf_bench.slopes.child import answer_usage
+from sassafraswharf_bench.slopes.child import report
+from sassafraswharf_bench.slopes.fitting import Point
+from sassafraswharf_bench.slopes.fitting import fit
+
+
+RATES = (20, 100, 400)
+SECONDS = 2.0
+SETTLE_S = 0.3
+
+
+async def receive() -> None:
+    """Receive and check messages until standard input is closed."""
+    with pynng.Pull0() as socket:
+        socket.listen("tcp://127.0.0.1:0")
+        report(str(socket.listeners[0].local_address))
+        task = asyncio.create_task(_receive_all(socket))
+        await answer_usage()
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+
+
+async def _receive_all(socket: Any) -> None:  # noqa: ANN401
+    while True:
+        wire.unseal(await socket.arecv())
+
+
+async def send(address: str, rate: float, seconds: float) -> None:
+    """Send messages at an even rate and report the processor time."""
+    loop = asyncio.get_running_loop()
+    with pynng.Push0() as socket:
+        socket.dial(f"tcp://{address}", block=True)
+        count = round(rate * seconds)
+        started_at, cpu_at = loop.time(), time.process_time()
+        for number in range(count):
+            await asyncio.sleep(max(0.0, started_at + number / rate - loop.time()))
+            await socket.asend(wire.seal("host", number, wire.renewal(number)))
+        await asyncio.sleep(SETTLE_S)
+        report({"cpu_s": time.process_time() - cpu_at})
+
+
+def measure() -> dict[str, Any]:
+    """Return seconds of processor time per message at both ends.
+
+    The costs are those at the middle rate, which is about the rate of a control
+    host with three groups. The slopes are reported as well.
+    """
+    received, sent = [], []
+    with Child("mailboxes", "receive") as receiver:
+        address = receiver.read()
+        for rate in RATES:
+            before = receiver.usage()
+            with Child("mailboxes", "send", address, rate, SECONDS) as sender:
+                sent.append(Point(rate, sender.read()["cpu_s"] / SECONDS))
+            after = receiver.usage()
+            received.append(Point(rate, (after.cpu_s - before.cpu_s) / SECONDS))
+    return {
+        "message_send_s": sent[1].y / sent[1].x,
+        "message_receive_s": received[1].y / received[1].x,
+        "message_send_slope_s": fit(sent).slope,
+        "message_receive_slope_s": fit(received).slope,
+        "points": {"send_cpu_s_per_s": sent, "receive_cpu_s_per_s": received},
+    }
+
+
+def main(arguments: list[str]) -> None:
+    """Run one end of the exchange."""
+    if arguments[0] == "receive":
+        asyncio.run(receive())
+        return
+    asyncio.run(send(arguments[1], float(arguments[2]), float(arguments[3])))
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
--- /dev/null
+++ b/src/sassafraswharf_bench/slopes/memory_floor.py
@@ -0,0 +1,42 @@
+"""Resident memory after each import of the daemon's libraries.
+
+This module itself imports nothing but the standard library, because its own
+imports would be part of the floor.
+"""
+
+from __future__ import annotations
+
+import importlib
+
+from sassafraswharf_bench.slopes.child import own_usage
+from sassafraswharf_bench.slopes.child import report
+
+
+LIBRARIES = (
+    "asyncio",
+    "aiohttp",
+    "pynng",
+    "msgspec",
+    "absl.logging",
+    "opentelemetry.sdk.metrics",
+    "opentelemetry.exporter.prometheus",
+    "xxhash",
+    "json5",
+)
+
+
+def main() -> None:
+    """Report the resident bytes after each step."""
+    steps = [("interpreter with asyncio", own_usage().rss_bytes)]
+    for library in LIBRARIES:
+        importlib.import_module(library)
+        steps.append((library, own_usage().rss_bytes))
+    pynng = importlib.import_module("pynng")
+    with pynng.Pull0() as socket:
+        socket.listen("tcp://127.0.0.1:0")
+        steps.append(("first pynng socket", own_usage().rss_bytes))
+    report(steps)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/sassafraswharf_bench/slopes/renewals.py
@@ -0,0 +1,142 @@
+"""Processor time of a lease renewal at the leader and at the host."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import time
+
+from typing import Any
+
+from sassafraswharf_bench.slopes import wire
+from sassafraswharf_bench.slopes.child import Child
+from sassafraswharf_bench.slopes.child import answer_usage
+from sassafraswharf_bench.slopes.child import report
+from sassafraswharf_bench.slopes.fitting import Point
+from sassafraswharf_bench.slopes.fitting import fit
+
+
+RATES = (10, 50, 200, 800)
+SECONDS = 2.0
+SETTLE_S = 0.3
+
+
+class LeaderProtocol(asyncio.DatagramProtocol):
+    """Checks a renewal, notes its time and acknowledges it."""
+
+    def __init__(self) -> None:
+        self.renewed_at: dict[int, float] = {}
+        self.sequences: dict[str, int] = {}
+        self.transport: asyncio.DatagramTransport | None = None
+
+    def connection_made(self, transport: Any) -> None:  # noqa: ANN401
+        """Keep the transport for the acknowledgements."""
+        self.transport = transport
+
+    def datagram_received(self, data: bytes, address: tuple[str, int]) -> None:
+        """Handle one renewal."""
+        envelope = wire.unseal(data)
+        if envelope.sequence <= self.sequences.get(envelope.sender, 0):
+            return
+        self.sequences[envelope.sender] = envelope.sequence
+        renewal = wire.RENEWAL.decode(envelope.body)
+        self.renewed_at[renewal.session] = time.clock_gettime(time.CLOCK_BOOTTIME)
+        answer = wire.seal("leader", envelope.sequence, wire.acknowledgement(renewal))
+        if self.transport is not None:
+            self.transport.sendto(answer, address)
+
+
+class HostProtocol(asyncio.DatagramProtocol):
+    """Checks and counts acknowledgements."""
+
+    def __init__(self) -> None:
+        self.received = 0
+
+    def datagram_received(self, data: bytes, _address: tuple[str, int]) -> None:
+        """Handle one acknowledgement."""
+        wire.ACK.decode(wire.unseal(data).body)
+        self.received += 1
+
+
+async def lead() -> None:
+    """Act as the leader until standard input is closed."""
+    loop = asyncio.get_running_loop()
+    transport, _ = await loop.create_datagram_endpoint(
+        LeaderProtocol, local_addr=("127.0.0.1", 0)
+    )
+    report(transport.get_extra_info("sockname")[1])
+    await answer_usage()
+    transport.close()
+
+
+async def renew(port: int, rate: float, seconds: float) -> None:
+    """Send renewals at an even rate and report the processor time."""
+    loop = asyncio.get_running_loop()
+    transport, protocol = await loop.create_datagram_endpoint(
+        HostProtocol, remote_addr=("127.0.0.1", port)
+    )
+    count = round(rate * seconds)
+    started_at, cpu_at = loop.time(), time.process_time()
+    base = time.time_ns()
+    for number in range(count):
+        await asyncio.sleep(max(0.0, started_at + number / rate - loop.time()))
+        sequence = base + number
+        transport.sendto(wire.seal("host", sequence, wire.renewal(sequence)))
+    await asyncio.sleep(SETTLE_S)
+    cpu_s = time.process_time() - cpu_at
+    report({"sent": count, "received": protocol.received, "cpu_s": cpu_s})
+    transport.close()
+
+
+def measure() -> dict[str, Any]:
+    """Return seconds of processor time per renewal at both ends, and bytes.
+
+    A renewal costs more at a low rate, because each one then wakes an idle
+    process. The leader's cost is therefore the one at the highest rate, which
+    is the rate of a full cell, and the host's cost the one at the lowest. The
+    slopes between the rates are reported as well.
+    """
+    leader_points, host_points, lost = [], [], 0
+    with Child("renewals", "lead") as leader:
+        port = leader.read()
+        for rate in RATES:
+            before = leader.usage()
+            with Child("renewals", "renew", port, rate, SECONDS) as host:
+                result = host.read()
+            leader_points.append(
+                Point(rate, (leader.usage().cpu_s - before.cpu_s) / SECONDS)
+            )
+            host_points.append(Point(rate, result["cpu_s"] / SECONDS))
+            lost += result["sent"] - result["received"]
+    sizes = [
+        (size, len(wire.seal("cairo-a-host-117", 10**9, wire.renewal(10**9, size))))
+        for size in (0, 64, 512)
+    ]
+    answer = wire.acknowledgement(wire.renewal(10**9))
+    return {
+        "renewal_leader_s": leader_points[-1].y / leader_points[-1].x,
+        "renewal_host_s": host_points[0].y / host_points[0].x,
+        "renewal_leader_slope_s": fit(leader_points).slope,
+        "renewal_host_slope_s": fit(host_points).slope,
+        "renewal_bytes": dict(sizes)[wire.LOAD_BYTES],
+        "ack_bytes": len(wire.seal("leader-of-cell-11", 10**9, answer)),
+        "points": {
+            "leader_cpu_s_per_s": leader_points,
+            "host_cpu_s_per_s": host_points,
+            "renewal_bytes_by_load_bytes": sizes,
+            "lost": lost,
+        },
+    }
+
+
+def main(arguments: list[str]) -> None:
+    """Run one end of the exchange."""
+    if arguments[0] == "lead":
+        asyncio.run(lead())
+        return
+    port, rate, seconds = arguments[1:]
+    asyncio.run(renew(int(port), float(rate), float(seconds)))
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
