--- a/src/sassafraswharf_bench/capacity.py
+++ b/src/sassafraswharf_bench/capacity.py
@@ -28,11 +28,13 @@
 def measure(folder: Path) -> dict[str, Any]:
     """Return the measured values with date and platform."""
     now = dt.datetime.now(dt.UTC)
+    load_before = os.getloadavg()[0]
     return {
         "date": now.strftime("%Y-%m-%d %H:%M UTC"),
         "python": platform.python_version(),
         "processors": os.cpu_count(),
         **measure_all(folder),
+        "load": [load_before, os.getloadavg()[0]],
     }
 
 
--- a/src/sassafraswharf_bench/sizing/checks.py
+++ b/src/sassafraswharf_bench/sizing/checks.py
@@ -253,7 +253,8 @@
             "met" if gap <= 0 else "not met in the worst case",
             (
                 f"renewal {RENEW_EVERY_S} + election {ELECTION_S} + next renewal "
-                f"{FIND_LEADER_S} against the term {LEASE_TERM_S} s; slots stay"
+                f"{FIND_LEADER_S} against the term {LEASE_TERM_S} s; more if "
+                "the new leader must be found first; slots stay"
             ),
         ),
         (
--- a/src/sassafraswharf_bench/sizing/render.py
+++ b/src/sassafraswharf_bench/sizing/render.py
@@ -48,7 +48,9 @@
         [
             (
                 f"Measured on {measured['date']} with `{COMMAND}`, "
-                f"Python {measured['python']}, {measured['processors']} processors."
+                f"Python {measured['python']}, {measured['processors']} processors, "
+                f"load average {measured['load'][0]:.1f} before and "
+                f"{measured['load'][1]:.1f} after."
             ),
             "### Slopes",
             table(("slope", "value"), slope_rows(slopes)),
--- a/src/sassafraswharf_bench/slopes/hops.py
+++ b/src/sassafraswharf_bench/slopes/hops.py
@@ -100,7 +100,7 @@
     return {
         "hop_s": line.base,
         "hop_per_kib_s": line.slope,
-        "points": {"cpu_s_per_request_by_kib": points},
+        "points": {"cpu_s_per_request_by_kib": points, "rounds_by_bytes": costs},
     }
 
 
