--- a/src/sassafraswharf/router/headers.py
+++ b/src/sassafraswharf/router/headers.py
@@ -48,9 +48,12 @@
 
 
 def end_to_end(headers: Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
-    """Return the headers to pass on, without those of the system itself."""
+    """Return the headers to pass on, without those of the system itself.
+
+    Names become plain strings, since answers are stored in the journal.
+    """
     return [
-        (name, value)
+        (str(name), value)
         for name, value in headers
         if name.lower() not in HOP_BY_HOP and not name.startswith(PREFIX)
     ]
--- /dev/null
+++ b/src/sassafraswharf/router/journal_slots.py
@@ -0,0 +1,185 @@
+"""Keeps the journal in step with the slots that this host owns."""
+
+from __future__ import annotations
+
+import time
+
+from typing import TYPE_CHECKING
+
+from sassafraswharf.cell.commands import JournalPeersReady
+from sassafraswharf.cell.commands import JournalReady
+from sassafraswharf.journal.takeover import JournalSet
+from sassafraswharf.journal.takeover import TakeOver
+from sassafraswharf.journal.takeover import TakeOverPhase
+from sassafraswharf.leases.holder import NO_SESSION
+from sassafraswharf.ownership.values import SlotRange
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sassafraswharf.cell.commands import Command
+    from sassafraswharf.clock import Clock
+    from sassafraswharf.identifiers import ServiceName
+    from sassafraswharf.identifiers import SessionId
+    from sassafraswharf.journal.journal_quorum import JournalQuorum
+    from sassafraswharf.leases.holder import LeaseHolder
+    from sassafraswharf.ownership.slot_table import SlotTable
+    from sassafraswharf.ownership.values import SlotRun
+    from sassafraswharf.router.journal_task import JournalTask
+    from sassafraswharf.router.view import RouterView
+
+    Propose = Callable[[str, Command], None]
+
+
+class JournalSlots:
+    """Tells the journal which slots it owns, starts takeovers and reports them.
+
+    ``propose`` commits a command in the background, once at a time per name.
+    """
+
+    def __init__(
+        self,
+        view: RouterView,
+        holder: LeaseHolder,
+        journal: JournalTask,
+        clock: Clock,
+        propose: Propose,
+    ) -> None:
+        """Start without slots."""
+        self.view = view
+        self.holder = holder
+        self.journal = journal
+        self.clock = clock
+        self.propose = propose
+        self.known: dict[tuple[ServiceName, int], tuple[int, bool]] = {}
+        self.seen: tuple[SessionId, int] = (NO_SESSION, 0)
+
+    def follow(self) -> None:
+        """Bring the journal in line with the view."""
+        session = self.holder.session
+        quorum = self.journal.quorum
+        if session != (NO_SESSION if quorum is None else quorum.session):
+            self.journal.open(session)
+            self.known.clear()
+        quorum = self.journal.quorum
+        if quorum is None:
+            return
+        self.follow_set(quorum)
+        if self.seen != (session, self.view.version):
+            self.seen = (session, self.view.version)
+            for table in self.view.tables.values():
+                self.follow_table(quorum, table)
+        self.report_takeovers(quorum)
+
+    def follow_set(self, quorum: JournalQuorum) -> None:
+        """Use the newest journal set and report when it holds all records."""
+        session = self.view.sessions.get(quorum.session)
+        if session is None:
+            return
+        now = self.clock.now()
+        if not session.pending_generation:
+            quorum.set_peers(session.generation, session.peers, now)
+            return
+        quorum.set_peers(session.pending_generation, session.pending_peers, now)
+        if quorum.is_copied(
+            record.key for record in quorum.store.records_of(session.session)
+        ):
+            self.propose(
+                "journal peers ready",
+                JournalPeersReady(
+                    session.session, session.pending_generation, time.time()
+                ),
+            )
+
+    def follow_table(self, quorum: JournalQuorum, table: SlotTable) -> None:
+        """Note slots that were gained, lost, or taken over."""
+        service = table.service
+        owned: dict[int, tuple[int, bool]] = {}
+        runs = [run for run in table.runs() if run.session == quorum.session]
+        for run in runs:
+            if run.upstream is None or run.closing:
+                continue
+            ready = not run.sources
+            for slot in range(run.start, run.start + run.length):
+                owned[slot] = (run.epoch, ready)
+        lost = [
+            slot for name, slot in self.known if name == service and slot not in owned
+        ]
+        if lost:
+            quorum.disown(service, lost, self.clock.now())
+            for slot in lost:
+                del self.known[service, slot]
+        gained: dict[tuple[int, tuple[SessionId, ...]], list[SlotRun]] = {}
+        for run in runs:
+            if run.upstream is not None and not run.closing:
+                gained.setdefault((run.epoch, run.sources), []).append(run)
+        for (epoch, sources), group in gained.items():
+            self.gain(quorum, service, epoch, sources, group)
+        self.journal.changed.notify()
+
+    def gain(
+        self,
+        quorum: JournalQuorum,
+        service: ServiceName,
+        epoch: int,
+        sources: tuple[SessionId, ...],
+        runs: list[SlotRun],
+    ) -> None:
+        """Own slots at once, or start to take them over from their sources."""
+        state = (epoch, not sources)
+        new = [
+            slot
+            for run in runs
+            for slot in range(run.start, run.start + run.length)
+            if self.known.get((service, slot)) != state
+        ]
+        if not new:
+            return
+        for slot in new:
+            self.known[service, slot] = state
+        if not sources:
+            quorum.own(service, new, epoch, ready=True)
+            return
+        spans = tuple((run.start, run.length) for run in runs)
+        sets = [self.set_of(source) for source in sources]
+        takeover = TakeOver(service, spans, epoch, sets, quorum, self.clock.now())
+        self.journal.takeovers.append(takeover)
+        self.journal.pump()
+
+    def set_of(self, source: SessionId) -> JournalSet:
+        """Return the journal set in force of a session.
+
+        A session that the cell has forgotten never had a set, or its records
+        are past their retention time.
+        """
+        session = self.view.sessions.get(source)
+        if session is None:
+            return JournalSet(source, 0, ())
+        members = (source, *(peer for peer in session.peers if peer != source))
+        return JournalSet(source, session.generation, members)
+
+    def report_takeovers(self, quorum: JournalQuorum) -> None:
+        """Commit the takeovers that are complete, and drop what is over."""
+        pending = []
+        for takeover in self.journal.takeovers:
+            service = takeover.service
+            if takeover.quorum is not quorum or takeover.phase is TakeOverPhase.LOST:
+                continue
+            current = [
+                slot
+                for slot in takeover.slots()
+                if self.known.get((service, slot)) == (takeover.epoch, False)
+            ]
+            if not current:
+                continue
+            pending.append(takeover)
+            if takeover.phase is TakeOverPhase.READY:
+                ranges = tuple(SlotRange(*run) for run in takeover.runs)
+                self.propose(
+                    f"journal ready {service} {takeover.epoch} {takeover.runs[0]}",
+                    JournalReady(
+                        service, ranges, takeover.epoch, quorum.session, time.time()
+                    ),
+                )
+        self.journal.takeovers = pending
--- /dev/null
+++ b/src/sassafraswharf/router/journal_task.py
@@ -0,0 +1,356 @@
+"""Carries the journal of at-most-once requests between routers."""
+
+from __future__ import annotations
+
+import asyncio
+
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import Final
+
+import msgspec
+
+from absl import logging
+from result import Err
+from result import Ok
+
+from sassafraswharf.codes import ResultCode
+from sassafraswharf.failure import Failure
+from sassafraswharf.journal.decision import Decision
+from sassafraswharf.journal.decision import EventKind
+from sassafraswharf.journal.decision import JournalDecision
+from sassafraswharf.journal.intent import JournalKey
+from sassafraswharf.journal.intent import RecordState
+from sassafraswharf.journal.journal_quorum import JournalQuorum
+from sassafraswharf.journal.journal_store import JournalStore
+from sassafraswharf.journal.messages import decode_batch
+from sassafraswharf.journal.messages import decode_reply
+from sassafraswharf.journal.messages import encode
+from sassafraswharf.leases.holder import NO_SESSION
+from sassafraswharf.requests.outcome import OutcomeKind
+from sassafraswharf.router.answers import Answer
+from sassafraswharf.router.answers import refusal
+from sassafraswharf.router.change_signal import ChangeSignal
+from sassafraswharf.router.upstream_runner import RunResult
+
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from sassafraswharf.clock import Clock
+    from sassafraswharf.identifiers import SessionId
+    from sassafraswharf.journal.messages import JournalBatch
+    from sassafraswharf.journal.takeover import TakeOver
+    from sassafraswharf.ownership.values import Ownership
+    from sassafraswharf.router.incoming import Incoming
+    from sassafraswharf.router.peer_routers import PeerRouters
+    from sassafraswharf.router.view import RouterView
+
+    BeforeDispatch = Callable[[], Awaitable[Answer | None]]
+    Run = Callable[[BeforeDispatch], Awaitable[RunResult]]
+
+
+JOURNAL_PATH: Final = "/-/journal"
+SEND_TIMEOUT_S: Final = 0.25
+RETRY_PAUSE_S: Final = 0.05
+EXPIRY_CHECK_S: Final = 0.05
+CONCLUDE_WAIT_S: Final = 0.5
+OUTCOME_STATES: Final = {
+    OutcomeKind.ANSWER: RecordState.ANSWER,
+    OutcomeKind.NOT_RUN: RecordState.NOT_RUN,
+    OutcomeKind.MAY_HAVE_RUN: RecordState.INTENT,
+}
+
+
+class JournalTask:
+    """Owns the journal of this process and exchanges batches with peers.
+
+    The pure parts decide; this class carries their batches over HTTP and lets
+    requests wait for their events. While a new journal set is not committed
+    by the cell, no intent counts: a new owner would not know the set.
+    """
+
+    def __init__(self, view: RouterView, peers: PeerRouters, clock: Clock) -> None:
+        """Start without a session."""
+        self.view = view
+        self.peers = peers
+        self.clock = clock
+        self.store = JournalStore()
+        self.quorum: JournalQuorum | None = None
+        self.takeovers: list[TakeOver] = []
+        self.changed = ChangeSignal()
+        self.outcomes: dict[JournalKey, asyncio.Future[ResultCode]] = {}
+        self.sends: set[asyncio.Task[Any]] = set()
+        self.paused_until: dict[SessionId, float] = {}
+        self.task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Start to repeat lost batches and to expire attempts."""
+        self.task = asyncio.create_task(self.run())
+
+    async def stop(self) -> None:
+        """Stop all exchanges."""
+        tasks = [*self.sends]
+        if self.task is not None:
+            tasks.append(self.task)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def run(self) -> None:
+        """Repeat and expire until cancelled."""
+        while True:
+            await asyncio.sleep(EXPIRY_CHECK_S)
+            try:
+                self.pump()
+            except Exception:
+                logging.exception("the journal failed")
+
+    def open(self, session: SessionId) -> None:
+        """Use a new session; attempts of the old one can't be dispatched."""
+        if session == NO_SESSION:
+            self.quorum = None
+        elif self.quorum is None or self.quorum.session != session:
+            self.quorum = JournalQuorum(session, self.store)
+            self.takeovers = []
+        self.fail_waiting()
+        self.changed.notify()
+
+    def fail_waiting(self) -> None:
+        """Tell requests that wait for an intent that it will not count."""
+        for future in self.outcomes.values():
+            if not future.done():
+                future.set_result(ResultCode.NOT_OWNER)
+        self.outcomes.clear()
+
+    def pump(self) -> None:
+        """Send what is due and hand out events."""
+        quorum = self.quorum
+        if quorum is None:
+            return
+        now = self.clock.now()
+        quorum.expire(now)
+        batches = quorum.take_batches(now)
+        for takeover in self.takeovers:
+            takeover.advance(now)
+            batches += takeover.batches()
+        for batch in batches:
+            self.send(quorum, batch)
+        self.hand_out_events(quorum)
+
+    def hand_out_events(self, quorum: JournalQuorum) -> None:
+        """Wake the requests that the events are for."""
+        events = quorum.take_events()
+        for event in events:
+            future = self.outcomes.get(event.key)
+            if future is None or future.done():
+                continue
+            failed = event.kind is EventKind.FAILED
+            future.set_result(event.code if failed else ResultCode.OK)
+        if events:
+            self.changed.notify()
+
+    def send(self, quorum: JournalQuorum, batch: JournalBatch) -> None:
+        """Send a batch in the background, unless its member did not answer."""
+        if self.clock.now() < self.paused_until.get(batch.member, 0.0):
+            quorum.on_send_failed(batch)
+            return
+        if batch.seals:
+            # Seals are offered again until they are answered.
+            self.paused_until[batch.member] = self.clock.now() + RETRY_PAUSE_S
+        task = asyncio.create_task(self.exchange(quorum, batch))
+        self.sends.add(task)
+        task.add_done_callback(self.sends.discard)
+
+    async def exchange(self, quorum: JournalQuorum, batch: JournalBatch) -> None:
+        """Send a batch to its member and use the reply."""
+        session = self.view.sessions.get(batch.member)
+        answer = None
+        if session is not None:
+            answer = await self.peers.post(
+                session,
+                "POST",
+                JOURNAL_PATH,
+                {"Content-Type": "application/octet-stream"},
+                encode(batch),
+                SEND_TIMEOUT_S,
+            )
+        reply = None
+        if answer is not None and answer.status == 200:
+            reply = decode_reply(answer.body)
+        if not isinstance(reply, Ok):
+            self.paused_until[batch.member] = self.clock.now() + RETRY_PAUSE_S
+            quorum.on_send_failed(batch)
+            return
+        now = self.clock.now()
+        if batch.seals:
+            for takeover in self.takeovers:
+                takeover.on_reply(batch, reply.ok_value, now)
+        else:
+            quorum.on_reply(batch, reply.ok_value, now)
+        self.pump()
+
+    def handle(self, body: bytes) -> bytes | Failure:
+        """Apply the batch of another router and return the encoded reply."""
+        batch = decode_batch(body)
+        if isinstance(batch, Err):
+            return batch.err_value
+        reply = self.store.handle(batch.ok_value, self.clock.now())
+        return encode(reply)
+
+    def is_set_in_force(self) -> bool:
+        """Return whether the cell has committed the set that is written to."""
+        if self.quorum is None:
+            return False
+        session = self.view.sessions.get(self.quorum.session)
+        generation = self.quorum.replication.generation
+        return session is not None and session.generation == generation
+
+    async def serve(
+        self, request: Incoming, ownership: Ownership, run: Run
+    ) -> RunResult:
+        """Run a request at most once, or answer from its record."""
+        key = JournalKey(
+            request.classification.service,
+            ownership.slot,
+            request.idempotency_key or "",
+        )
+        digest = request.body_digest()
+        decision = await self.decide(key, digest, request.deadline_at)
+        if decision.decision is not Decision.RUN:
+            return from_decision(decision)
+        # A caller that leaves must not cut off the recording of the outcome.
+        task = asyncio.create_task(self.run_recorded(key, digest, request, run))
+        self.sends.add(task)
+        task.add_done_callback(self.sends.discard)
+        return await asyncio.shield(task)
+
+    async def decide(
+        self, key: JournalKey, digest: bytes, deadline_at: float
+    ) -> JournalDecision:
+        """Look the key up, waiting for a takeover or for an earlier attempt."""
+        while True:
+            quorum = self.quorum
+            now = self.clock.now()
+            if quorum is None:
+                return refuse(ResultCode.LEASE_EXPIRED)
+            decision = quorum.lookup(key, digest, now)
+            in_force = self.is_set_in_force()
+            if decision.decision is Decision.RUN and not in_force:
+                if now >= deadline_at:
+                    return refuse(ResultCode.NOT_OWNER)
+            elif decision.decision is not Decision.WAIT:
+                return decision
+            elif now >= deadline_at:
+                return waited_in_vain(quorum, key)
+            self.pump()
+            await self.changed.wait(max(0.001, min(0.1, deadline_at - now)))
+
+    async def run_recorded(
+        self, key: JournalKey, digest: bytes, request: Incoming, run: Run
+    ) -> RunResult:
+        """Run with an intent recorded before, and the outcome afterwards."""
+        quorum = self.quorum
+
+        async def before_dispatch() -> Answer | None:
+            if quorum is None or quorum is not self.quorum:
+                return refusal(not_recorded(ResultCode.NOT_OWNER))
+            return await self.record_intent(quorum, key, digest, request.deadline_at)
+
+        result = await run(before_dispatch)
+        if quorum is not None:
+            await self.record_outcome(quorum, key, result)
+        return result
+
+    async def record_intent(
+        self, quorum: JournalQuorum, key: JournalKey, digest: bytes, deadline_at: float
+    ) -> Answer | None:
+        """Record the intent; return a refusal when it does not count."""
+        now = self.clock.now()
+        begun = quorum.begin(key, digest, deadline_at, now)
+        if isinstance(begun, Err):
+            return refusal(begun.err_value)
+        code = await self.wait_for_event(key, deadline_at - now)
+        if code is None:
+            quorum.abandon(key, self.clock.now())
+            return refusal(not_recorded(ResultCode.DEADLINE_EXPIRED))
+        if code != ResultCode.OK:
+            return refusal(not_recorded(code))
+        while not self.is_set_in_force():
+            remaining_s = deadline_at - self.clock.now()
+            if quorum is not self.quorum or remaining_s <= 0:
+                quorum.abandon(key, self.clock.now())
+                return refusal(not_recorded(ResultCode.NOT_OWNER))
+            await self.view.changed.wait(remaining_s)
+        dispatched = quorum.dispatch(key, self.clock.now())
+        if isinstance(dispatched, Err):
+            return refusal(dispatched.err_value)
+        return None
+
+    async def record_outcome(
+        self, quorum: JournalQuorum, key: JournalKey, result: RunResult
+    ) -> None:
+        """Record how the attempt ended and wait a moment until it counts."""
+        state = OUTCOME_STATES[result.kind]
+        answer = b""
+        if state is RecordState.ANSWER:
+            answer = msgspec.msgpack.encode(result.answer)
+        if quorum.conclude(key, state, answer, self.clock.now()):
+            await self.wait_for_event(key, CONCLUDE_WAIT_S)
+        else:
+            self.changed.notify()
+
+    async def wait_for_event(
+        self, key: JournalKey, timeout_s: float
+    ) -> ResultCode | None:
+        """Wait for the next event of a key; None after ``timeout_s``."""
+        future: asyncio.Future[ResultCode] = asyncio.get_running_loop().create_future()
+        self.outcomes[key] = future
+        self.pump()
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await future
+        except TimeoutError:
+            return None
+        finally:
+            if self.outcomes.get(key) is future:
+                del self.outcomes[key]
+
+
+def from_decision(decision: JournalDecision) -> RunResult:
+    """Return the answer for a request that is not run now."""
+    if decision.decision is Decision.REPLAY:
+        answer = msgspec.msgpack.decode(decision.answer, type=Answer)
+        return RunResult(answer, OutcomeKind.ANSWER)
+    scope = "key" if decision.not_run_key else "attempt"
+    answer = refusal(not_recorded(decision.code), scope)
+    kind = OutcomeKind.NOT_RUN if answer.not_run else OutcomeKind.MAY_HAVE_RUN
+    return RunResult(answer, kind)
+
+
+MESSAGES: Final = {
+    ResultCode.OUTCOME_UNKNOWN: "an earlier attempt with this key may have run",
+    ResultCode.JOURNAL_UNAVAILABLE: "the record of earlier attempts can't be read now",
+    ResultCode.JOURNAL_FULL: "no room to record the request",
+    ResultCode.IDEMPOTENCY_KEY_MISMATCH: "the key belongs to another request",
+    ResultCode.DEADLINE_EXPIRED: "the intent was not recorded before the deadline",
+}
+
+
+def not_recorded(code: ResultCode) -> Failure:
+    """Return the failure for a journal decision."""
+    return Failure(code, MESSAGES.get(code, "the request was not run by this router"))
+
+
+def refuse(code: ResultCode) -> JournalDecision:
+    """Return the decision of a router that can't read the journal."""
+    return JournalDecision(Decision.REFUSED, code)
+
+
+def waited_in_vain(quorum: JournalQuorum, key: JournalKey) -> JournalDecision:
+    """Return the decision at the deadline of a request that had to wait."""
+    slot = quorum.slots.get((key.service, key.slot))
+    ready = slot is not None and slot.ready
+    code = ResultCode.OUTCOME_UNKNOWN if ready else ResultCode.JOURNAL_UNAVAILABLE
+    return JournalDecision(Decision.UNKNOWN, code)
--- a/src/sassafraswharf/router/local_service.py
+++ b/src/sassafraswharf/router/local_service.py
@@ -23,6 +23,8 @@
     from sassafraswharf.ownership.values import Ownership
     from sassafraswharf.router.incoming import Incoming
     from sassafraswharf.router.incoming import RequestIds
+    from sassafraswharf.router.journal_task import BeforeDispatch
+    from sassafraswharf.router.journal_task import JournalTask
     from sassafraswharf.router.upstream_runner import UpstreamRunner
     from sassafraswharf.router.view import RouterView
 
@@ -46,6 +48,7 @@
         holder: LeaseHolder,
         clock: Clock,
         ids: RequestIds,
+        journal: JournalTask,
         request_refresh: Callable[[], None],
     ) -> None:
         """Start without upstreams."""
@@ -55,6 +58,7 @@
         self.holder = holder
         self.clock = clock
         self.ids = ids
+        self.journal = journal
         self.request_refresh = request_refresh
         self.runners: dict[UpstreamId, UpstreamRunner] = {}
         self.granted: dict[UpstreamId, int] = {}
@@ -80,8 +84,20 @@
                     f"this request crashed upstreams; digest {digest.hex()}",
                 )
             )
-        permit = self.permit(upstream, ownership)
-        return await runner.run(request, permit, solo=digest in self.view.suspects)
+        solo = digest in self.view.suspects
+        if not request.is_journaled or ownership is None:
+            permit = self.permit(upstream, ownership)
+            return await runner.run(request, permit, solo=solo)
+
+        async def run(before_dispatch: BeforeDispatch) -> RunResult:
+            return await runner.run(
+                request,
+                self.permit(upstream, ownership),
+                solo=solo,
+                before_dispatch=before_dispatch,
+            )
+
+        return await self.journal.serve(request, ownership, run)
 
     def reason_to_refuse(
         self, runner: UpstreamRunner | None, ownership: Ownership | None
--- a/src/sassafraswharf/router/local_upstreams.py
+++ b/src/sassafraswharf/router/local_upstreams.py
@@ -36,6 +36,7 @@
     from sassafraswharf.ownership.values import SlotRun
     from sassafraswharf.router.announcement import Announcement
     from sassafraswharf.router.control_link import ControlLink
+    from sassafraswharf.router.journal_slots import JournalSlots
     from sassafraswharf.router.local_service import LocalService
     from sassafraswharf.router.view import RouterView
 
@@ -44,6 +45,7 @@
 GRANT_TIMEOUT_S: Final = 1.0
 GRANT_REFRESH_S: Final = 2.0
 GRANT_RETRY_S: Final = 0.1
+VIEW_TIMEOUT_S: Final = 1.0
 SERVED_STATES: Final = frozenset({UpstreamState.ADMITTED, UpstreamState.DRAINING})
 
 
@@ -73,6 +75,7 @@
         self.proposals: dict[str, asyncio.Task[None]] = {}
         self.grants: dict[UpstreamId, asyncio.Task[None]] = {}
         self.probes: dict[UpstreamId, asyncio.Task[None]] = {}
+        self.journal_slots: JournalSlots | None = None
         self.task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -107,6 +110,8 @@
 
     async def reconcile(self) -> None:
         """Bring runners, grants and releases in line with the view."""
+        if self.journal_slots is not None:
+            self.journal_slots.follow()
         wanted = self.wanted()
         for name in set(self.service.runners) - set(wanted):
             await self.drop(name)
@@ -188,10 +193,20 @@
             elif reply.ok_value.code:
                 logging.warning("%s refused: %s", name, reply.ok_value.message)
             else:
-                self.link.note_newest(reply.ok_value.version, 0)
+                await self.wait_for_version(reply.ok_value.version)
 
         self.proposals[name] = asyncio.create_task(run())
 
+    async def wait_for_version(self, version: int) -> None:
+        """Wait until the view shows a committed command.
+
+        Until then the view would ask for the same command again.
+        """
+        self.link.note_newest(version, 0)
+        give_up_at = self.clock.now() + VIEW_TIMEOUT_S
+        while self.view.version < version and self.clock.now() < give_up_at:
+            await self.view.changed.wait(give_up_at - self.clock.now())
+
     def grant(self, upstream: Upstream) -> None:
         """Send the grant when the table has changed, and from time to time."""
         version, sent_at = self.granted_at.get(upstream.upstream, (-1, 0.0))
--- a/src/sassafraswharf/router/router_part.py
+++ b/src/sassafraswharf/router/router_part.py
@@ -18,6 +18,8 @@
 from sassafraswharf.identifiers import UpstreamId
 from sassafraswharf.leases.holder import LeaseHolder
 from sassafraswharf.leases.messages import LeaseTiming
+from sassafraswharf.requests.outcome import OUTCOMES
+from sassafraswharf.requests.outcome import Exchange
 from sassafraswharf.requests.upstream_choice import UpstreamChoice
 from sassafraswharf.router import headers
 from sassafraswharf.router.announcement import MAX_ANNOUNCEMENT_BYTES
@@ -27,9 +29,13 @@
 from sassafraswharf.router.control_link import ControlLink
 from sassafraswharf.router.http_server import HttpServer
 from sassafraswharf.router.incoming import RequestIds
+from sassafraswharf.router.journal_slots import JournalSlots
+from sassafraswharf.router.journal_task import JOURNAL_PATH
+from sassafraswharf.router.journal_task import JournalTask
 from sassafraswharf.router.local_service import LocalService
 from sassafraswharf.router.local_upstreams import LocalUpstreams
 from sassafraswharf.router.peer_routers import PeerRouters
+from sassafraswharf.router.request_path import Attempt
 from sassafraswharf.router.request_path import RequestPath
 from sassafraswharf.router.request_reader import RequestReader
 from sassafraswharf.router.request_reader import read_body
@@ -40,6 +46,7 @@
 if TYPE_CHECKING:
     from sassafraswharf.clock import Clock
     from sassafraswharf.observability.metrics import Metrics
+    from sassafraswharf.router.incoming import Incoming
     from sassafraswharf.settings.schema import Settings
     from sassafraswharf.transport.datagrams import DatagramEndpoint
     from sassafraswharf.transport.mailbox import Mailbox
@@ -47,6 +54,8 @@
 
 ANNOUNCEMENT_TIMEOUT_S: Final = 2.0
 DRAIN_TIMEOUT_S: Final = 30.0
+JOURNAL_TIMEOUT_S: Final = 2.0
+MAX_JOURNAL_BYTES: Final = 32 * 1_048_576
 LOCAL_PREFIX: Final = "/-/"
 REQUESTS_METRIC: Final = "sassafraswharf_requests"
 
@@ -94,6 +103,8 @@
             clock,
             lambda: b"",
         )
+        self.peers = PeerRouters(self.signer)
+        self.journal = JournalTask(self.view, self.peers, clock)
         self.local = LocalService(
             host,
             opening.public_address,
@@ -101,10 +112,13 @@
             self.holder,
             clock,
             self.ids,
+            self.journal,
             self.link.refresh,
         )
         self.upstreams = LocalUpstreams(self.view, self.link, self.local, clock)
-        self.peers = PeerRouters(self.signer)
+        self.upstreams.journal_slots = JournalSlots(
+            self.view, self.holder, self.journal, clock, self.upstreams.propose
+        )
         self.path = RequestPath(
             self.view,
             self.local,
@@ -123,7 +137,7 @@
         )
         self.internal = HttpServer(
             self.on_internal,
-            max_body_bytes=limits["max_body_bytes"],
+            max_body_bytes=max(limits["max_body_bytes"], MAX_JOURNAL_BYTES),
             max_header_bytes=2 * limits["max_header_bytes"],
             header_timeout_s=limits["header_timeout_s"],
         )
@@ -135,6 +149,7 @@
         await self.internal.start(bind["address"], bind["internal_port"])
         await self.public.start(bind["address"], bind["public_port"])
         self.link.start()
+        self.journal.start()
         self.upstreams.start()
 
     async def stop(self) -> None:
@@ -151,6 +166,7 @@
             logging.warning("requests were still in flight after %s s", DRAIN_TIMEOUT_S)
         await self.link.stop()
         await self.upstreams.stop()
+        await self.journal.stop()
         await self.public.stop()
         await self.internal.stop()
         await self.peers.close()
@@ -163,13 +179,24 @@
         if isinstance(incoming, Err):
             answer, owner = refusal(incoming.err_value), ""
         else:
-            attempt = await self.path.serve(incoming.ok_value)
+            attempt = await self.serve(incoming.ok_value)
             answer, owner = attempt.answer, attempt.owner_address
         self.metrics.add(REQUESTS_METRIC, str(int(answer.code)))
         return to_response(answer, owner, close=self.local.stopping)
 
+    async def serve(self, request: Incoming) -> Attempt:
+        """Serve a request; after a defect its outcome is unknown."""
+        try:
+            return await self.path.serve(request)
+        except Exception:
+            logging.exception("request %d failed", request.request_id)
+            failure = Failure(ResultCode.OUTCOME_UNKNOWN, "the router failed")
+            return Attempt(refusal(failure), OUTCOMES[Exchange.CONNECTION_LOST])
+
     async def on_internal(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve a request that another router has forwarded."""
+        if request.path == JOURNAL_PATH:
+            return await self.on_journal(request)
         incoming = await self.reader.read(request, hop=True)
         if isinstance(incoming, Err):
             return to_response(refusal(incoming.err_value), "", close=False)
@@ -183,6 +210,19 @@
             response.headers[headers.UPSTREAM] = "failed"
         return response
 
+    async def on_journal(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Apply a batch of journal records of another router."""
+        body = await read_body(request, MAX_JOURNAL_BYTES, JOURNAL_TIMEOUT_S)
+        if isinstance(body, Err):
+            return to_response(refusal(body.err_value), "", close=True)
+        sender = self.reader.authenticate(request, body.ok_value)
+        if isinstance(sender, Err):
+            return to_response(refusal(sender.err_value), "", close=True)
+        reply = self.journal.handle(body.ok_value)
+        if isinstance(reply, Failure):
+            return to_response(refusal(reply), "", close=True)
+        return web.Response(body=reply)
+
     async def on_local(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer the endpoints of the router itself."""
         if request.path == "/-/announce" and request.method == "POST":
