Quarantine crashing requests, give up frozen upstreams and report load

A request whose connection was lost is answered after its crash is reported to the cell, so that a resend finds the suspicion. A suspect runs alone; a second crash convicts it. An upstream that answers neither requests nor its health endpoint is given up and joins again when it is heard. Renewals carry requests per second by slot and the measured speed, which the planner uses.

--- a/src/sassafraswharf/router/announcement.py
+++ b/src/sassafraswharf/router/announcement.py
@@ -41,7 +41,7 @@
     slots: Annotated[int, msgspec.Meta(ge=1, le=10_000)]
     connections: Annotated[int, msgspec.Meta(ge=1, le=100_000)]
     checks_grants: bool
-    incarnation: Annotated[int, msgspec.Meta(ge=1, le=2**63 - 1)]
+    incarnation: Annotated[int, msgspec.Meta(ge=1, le=2**53 - 1)]
     speed: Annotated[float, msgspec.Meta(gt=0, le=1_000_000)]
 
 
--- a/src/sassafraswharf/router/control_link.py
+++ b/src/sassafraswharf/router/control_link.py
@@ -134,6 +134,18 @@
             Failure(ResultCode.PROPOSAL_TIMEOUT, f"{name}: no leader for {timeout_s} s")
         )
 
+    async def commit(self, command: Command) -> bool:
+        """Commit a command with the present time; return whether it had effect."""
+        reply = await self.propose(command._replace(at=time.time()))
+        name = type(command).__name__
+        if isinstance(reply, Err):
+            logging.warning("%s: %s", name, reply.err_value)
+            return False
+        self.note_newest(reply.ok_value.version, 0)
+        if reply.ok_value.code:
+            logging.info("%s refused: %s", name, reply.ok_value.message)
+        return not reply.ok_value.code
+
     async def ask_leader(self, body: bytes) -> Result[AnyReply, Failure]:
         """Send a proposal to the supposed leader and learn who it is."""
         peer = self.peer(self.leader)
--- /dev/null
+++ b/src/sassafraswharf/router/crash_watch.py
@@ -0,0 +1,181 @@
+"""Finds out which upstreams have died, and reports what they were running."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from typing import TYPE_CHECKING
+from typing import Final
+
+from absl import logging
+
+from sassafraswharf.cell.commands import ClearSuspects
+from sassafraswharf.cell.commands import ReportCrash
+from sassafraswharf.cell.commands import UpstreamLost
+from sassafraswharf.quarantine.local_watch import LocalWatch
+from sassafraswharf.quarantine.local_watch import Treatment
+
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from sassafraswharf.cell.commands import Command
+    from sassafraswharf.clock import Clock
+    from sassafraswharf.identifiers import UpstreamId
+    from sassafraswharf.membership.values import Upstream
+    from sassafraswharf.router.upstream_runner import UpstreamRunner
+    from sassafraswharf.router.view import RouterView
+
+    Commit = Callable[[Command], Awaitable[bool]]
+
+
+RESTART_CHECK_S: Final = 0.3
+"""How long to wait for the announcement of a process that was restarted at once."""
+REPORT_WAIT_S: Final = 1.0
+DOUBT_S: Final = 3.0
+"""An upstream that has not announced a new incarnation by then did not crash."""
+
+
+class CrashWatch:
+    """The router's side of the quarantine.
+
+    A request whose connection was lost is answered only after the crash has
+    been reported, for at most a second: a caller that sends it again at once
+    would otherwise reach an upstream that does not know the suspicion yet.
+    """
+
+    def __init__(self, view: RouterView, clock: Clock, commit: Commit) -> None:
+        self.view = view
+        self.clock = clock
+        self.commit = commit
+        self.watch = LocalWatch()
+        self.probes: dict[UpstreamId, asyncio.Task[None]] = {}
+        self.deaths: dict[tuple[UpstreamId, int], asyncio.Task[None]] = {}
+        self.others: set[asyncio.Task[None]] = set()
+        self.convicted: set[bytes] = set()
+
+    async def stop(self) -> None:
+        """Stop all probes and reports."""
+        tasks = [*self.probes.values(), *self.deaths.values(), *self.others]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def treatment(self, digest: bytes) -> Treatment:
+        """Return how a request may be run, by the cell and by this router."""
+        self.follow_releases()
+        if digest in self.view.convictions:
+            return Treatment.REFUSED
+        if digest in self.view.suspects:
+            return Treatment.ALONE
+        return self.watch.treatment(digest, self.clock.now())
+
+    def follow_releases(self) -> None:
+        """Drop local convictions that the cell has ended."""
+        known = set(self.view.convictions)
+        released = self.convicted - known
+        if released:
+            self.watch.spread((), (), released, self.clock.now())
+        self.convicted = known
+
+    def started(
+        self, upstream: UpstreamId, request_id: int, digest: bytes, *, alone: bool
+    ) -> None:
+        """Note a request right before it is sent."""
+        self.watch.started(upstream, request_id, digest, alone)
+
+    def finished(self, upstream: UpstreamId, request_id: int) -> None:
+        """Note that a request ended without a crash."""
+        cleared = self.watch.finished(upstream, request_id)
+        if cleared is not None and cleared in self.view.suspects:
+            self.run_aside(self.commit_only(ClearSuspects((cleared,), time.time())))
+
+    async def connection_lost(self, runner: UpstreamRunner, request_id: int) -> None:
+        """Find out whether the upstream died, and wait for the report of it."""
+        name = runner.upstream.upstream
+        self.watch.finished(name, request_id, crashed=True)
+        await asyncio.wait([self.probe(runner)], timeout=REPORT_WAIT_S)
+
+    def probe(self, runner: UpstreamRunner) -> asyncio.Task[None]:
+        """Probe an upstream in the background, one probe at a time."""
+        name = runner.upstream.upstream
+        task = self.probes.get(name)
+        if task is None or task.done():
+            task = self.probes[name] = asyncio.create_task(self.examine(runner))
+        return task
+
+    async def examine(self, runner: UpstreamRunner) -> None:
+        """Report the upstream if its process has ended."""
+        upstream = runner.upstream
+        if not await runner.is_reachable():
+            logging.warning("upstream %s refuses connections", upstream.upstream)
+            runner.lost = True
+            runner.withdraw()
+            await self.report_death(upstream, runner)
+            return
+        await asyncio.sleep(RESTART_CHECK_S)
+        death = self.deaths.get((upstream.upstream, upstream.incarnation))
+        if death is not None:
+            await asyncio.wait([death])
+            return
+        self.run_aside(self.forget_doubts(upstream))
+
+    async def forget_doubts(self, upstream: Upstream) -> None:
+        """Drop requests whose connection was lost while the upstream lived on."""
+        request_ids = list(self.watch.running.get(upstream.upstream, {}))
+        await asyncio.sleep(DOUBT_S)
+        if (upstream.upstream, upstream.incarnation) in self.deaths:
+            return
+        for request_id in request_ids:
+            self.watch.upstream_lives(upstream.upstream, request_id)
+
+    def on_restart(self, runner: UpstreamRunner) -> None:
+        """Note that a newer process announces itself: the known one has ended."""
+        upstream = runner.upstream
+        if (upstream.upstream, upstream.incarnation) not in self.deaths:
+            runner.lost = True
+            self.run_aside(self.report_death(upstream, runner))
+
+    async def report_death(self, upstream: Upstream, runner: UpstreamRunner) -> None:
+        """Report a death once; all who ask wait for the same report."""
+        key = (upstream.upstream, upstream.incarnation)
+        task = self.deaths.get(key)
+        if task is None:
+            task = asyncio.create_task(self.commit_death(upstream, runner))
+            self.deaths[key] = task
+        await asyncio.wait([task])
+
+    async def commit_death(self, upstream: Upstream, runner: UpstreamRunner) -> None:
+        """Commit the suspicion first, so that no new owner lacks it.
+
+        The cell reassigns the slots of a lost upstream at once, although the
+        lease of this host is still valid. So nothing is sent to the process any
+        more, and what is in flight must have ended before the report.
+        """
+        report = self.watch.upstream_died(upstream.upstream, self.clock.now())
+        if report is not None:
+            await self.commit(
+                ReportCrash(
+                    upstream.upstream,
+                    upstream.incarnation,
+                    report.digests,
+                    report.alone,
+                    time.time(),
+                )
+            )
+        await runner.idle.wait()
+        await self.commit(
+            UpstreamLost(upstream.upstream, upstream.incarnation, time.time())
+        )
+
+    async def commit_only(self, command: Command) -> None:
+        """Commit a command whose result changes nothing here."""
+        await self.commit(command)
+
+    def run_aside(self, work: Awaitable[None]) -> None:
+        """Run work in the background until it ends or the router stops."""
+        task = asyncio.ensure_future(work)
+        self.others.add(task)
+        task.add_done_callback(self.others.discard)
--- a/src/sassafraswharf/router/incoming.py
+++ b/src/sassafraswharf/router/incoming.py
@@ -9,6 +9,7 @@
 from typing import Final
 from typing import NamedTuple
 
+from sassafraswharf.quarantine.local_watch import request_digest
 from sassafraswharf.requests.urgency import RequestFacts
 
 
@@ -27,7 +28,8 @@
     """A whole request from a caller or another router.
 
     ``target`` is the raw path with the query. ``hop`` tells that another
-    router has forwarded the request, which is then never forwarded again.
+    router has forwarded the request, which is then never forwarded again. ``solo``
+    tells that an earlier attempt may have crashed its upstream.
     """
 
     request_id: int
@@ -41,6 +43,7 @@
     arrived_at: float
     deadline_at: float
     hop: bool
+    solo: bool
 
     @property
     def facts(self) -> RequestFacts:
@@ -72,20 +75,9 @@
         return not self.classification.repeatable and self.idempotency_key is not None
 
     def digest(self) -> bytes:
-        """Return what identifies equal requests, for the quarantine."""
-        digest = blake2b(digest_size=16)
-        head = f"{self.classification.service}\n{self.method}\n{self.target}\n"
-        digest.update(head.encode("utf-8", "surrogateescape"))
-        digest.update(self.body)
-        return digest.digest()
-
-    def body_digest(self) -> bytes:
-        """Return the digest that a resend with the same key must have."""
-        digest = blake2b(digest_size=16)
-        head = f"{self.method}\n{self.target}\n"
-        digest.update(head.encode("utf-8", "surrogateescape"))
-        digest.update(self.body)
-        return digest.digest()
+        """Return what a request and its resends have in common."""
+        path, _, query = self.target.partition("?")
+        return request_digest(self.method, path, query, self.body)
 
 
 class RequestIds:
--- a/src/sassafraswharf/router/local_service.py
+++ b/src/sassafraswharf/router/local_service.py
@@ -8,6 +8,7 @@
 from sassafraswharf.codes import ResultCode
 from sassafraswharf.failure import Failure
 from sassafraswharf.identifiers import HostId
+from sassafraswharf.quarantine.local_watch import Treatment
 from sassafraswharf.requests.outcome import OutcomeKind
 from sassafraswharf.router.answers import refusal
 from sassafraswharf.router.upstream_runner import Permit
@@ -21,6 +22,7 @@
     from sassafraswharf.identifiers import UpstreamId
     from sassafraswharf.leases.holder import LeaseHolder
     from sassafraswharf.ownership.values import Ownership
+    from sassafraswharf.router.crash_watch import CrashWatch
     from sassafraswharf.router.incoming import Incoming
     from sassafraswharf.router.incoming import RequestIds
     from sassafraswharf.router.journal_task import BeforeDispatch
@@ -49,6 +51,7 @@
         clock: Clock,
         ids: RequestIds,
         journal: JournalTask,
+        crashes: CrashWatch,
         request_refresh: Callable[[], None],
     ) -> None:
         """Start without upstreams."""
@@ -59,6 +62,7 @@
         self.clock = clock
         self.ids = ids
         self.journal = journal
+        self.crashes = crashes
         self.request_refresh = request_refresh
         self.runners: dict[UpstreamId, UpstreamRunner] = {}
         self.granted: dict[UpstreamId, int] = {}
@@ -76,15 +80,10 @@
         failure = self.reason_to_refuse(runner, ownership)
         if failure is not None or runner is None:
             return refused(failure or not_owner(upstream))
-        digest = request.digest()
-        if digest in self.view.convictions:
-            return refused(
-                Failure(
-                    ResultCode.QUARANTINED,
-                    f"this request crashed upstreams; digest {digest.hex()}",
-                )
-            )
-        solo = digest in self.view.suspects
+        treatment = self.crashes.treatment(request.digest())
+        if treatment is Treatment.REFUSED:
+            return refused(quarantined(request.digest()))
+        solo = request.solo or treatment is Treatment.ALONE
         if not request.is_journaled or ownership is None:
             permit = self.permit(upstream, ownership)
             return await runner.run(request, permit, solo=solo)
@@ -153,6 +152,13 @@
     return Failure(ResultCode.NOT_OWNER, f"{upstream} is not served by this router")
 
 
+def quarantined(digest: bytes) -> Failure:
+    """Return the failure of a request that crashed upstreams before."""
+    return Failure(
+        ResultCode.QUARANTINED, f"this request crashed upstreams; digest {digest.hex()}"
+    )
+
+
 def refused(failure: Failure) -> RunResult:
     """Return the result of a request that was not sent."""
     return RunResult(refusal(failure), OutcomeKind.NOT_RUN)
--- a/src/sassafraswharf/router/local_upstreams.py
+++ b/src/sassafraswharf/router/local_upstreams.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 
 from typing import TYPE_CHECKING
 from typing import Final
@@ -11,16 +10,16 @@
 import msgspec
 
 from absl import logging
-from result import Err
 
 from sassafraswharf.cell.commands import AnnounceUpstream
 from sassafraswharf.cell.commands import SlotsReleased
-from sassafraswharf.cell.commands import UpstreamLost
 from sassafraswharf.identifiers import ServiceName
 from sassafraswharf.identifiers import UpstreamId
 from sassafraswharf.leases.holder import NO_SESSION
 from sassafraswharf.membership.values import UpstreamState
 from sassafraswharf.ownership.slot_table import ranges_of
+from sassafraswharf.router.freeze_watch import MAX_THAWS
+from sassafraswharf.router.freeze_watch import FreezeWatch
 from sassafraswharf.router.incoming import MAX_NESTED_DEPTH
 from sassafraswharf.router.local_service import NO_SLOT
 from sassafraswharf.router.upstream_runner import UpstreamRunner
@@ -74,22 +73,24 @@
         self.releases: dict[tuple[ServiceName, UpstreamId], int] = {}
         self.proposals: dict[str, asyncio.Task[None]] = {}
         self.grants: dict[UpstreamId, asyncio.Task[None]] = {}
-        self.probes: dict[UpstreamId, asyncio.Task[None]] = {}
         self.journal_slots: JournalSlots | None = None
+        self.freezes = FreezeWatch(service.runners, service.crashes, clock)
         self.task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
         """Start to follow the view."""
         self.task = asyncio.create_task(self.run())
+        self.freezes.start()
 
     async def stop(self) -> None:
         """Stop following and close the connections to the upstreams."""
-        tasks = [*self.proposals.values(), *self.grants.values(), *self.probes.values()]
+        tasks = [*self.proposals.values(), *self.grants.values()]
         if self.task is not None:
             tasks.append(self.task)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        await self.freezes.stop()
         for runner in self.service.runners.values():
             await runner.close()
 
@@ -106,6 +107,12 @@
         """Take the announcement of an upstream beside this router."""
         upstream = UpstreamId(announcement["upstream"])
         self.announced[upstream] = announcement
+        self.freezes.heard(upstream, announcement["incarnation"])
+        runner = self.service.runners.get(upstream)
+        if runner is not None:
+            incarnation = self.incarnation(upstream, announcement)
+            if incarnation > runner.upstream.incarnation:
+                self.service.crashes.on_restart(runner)
         self.pass_on(upstream, announcement)
 
     async def reconcile(self) -> None:
@@ -146,7 +153,7 @@
             MAX_NESTED_DEPTH if in_cycle else 0,
             self.clock,
             self.service.ids,
-            self.on_trouble,
+            self.service.crashes,
         )
 
     async def drop(self, name: UpstreamId) -> None:
@@ -173,36 +180,38 @@
             announcement["slots"],
             announcement["connections"],
             announcement["checks_grants"],
-            announcement["incarnation"],
+            self.incarnation(name, announcement),
             announcement["speed"],
         )
         if known is not None and is_announced(known, command):
             return
         self.propose(f"announce {name}", command)
 
+    def incarnation(self, name: UpstreamId, announcement: Announcement) -> int:
+        """Return the incarnation that the cell is told.
+
+        It also counts how often this router has given up the process as frozen
+        and has heard from it again, since the cell takes no lost incarnation back.
+        """
+        thaws = self.freezes.thaws(name, announcement["incarnation"])
+        return announcement["incarnation"] * (MAX_THAWS + 1) + thaws
+
     def propose(self, name: str, command: Command) -> None:
         """Commit a command in the background, one at a time per name."""
         running = self.proposals.get(name)
-        if running is not None and not running.done():
-            return
-
-        async def run() -> None:
-            reply = await self.link.propose(command._replace(at=time.time()))
-            if isinstance(reply, Err):
-                logging.warning("%s: %s", name, reply.err_value)
-            elif reply.ok_value.code:
-                logging.warning("%s refused: %s", name, reply.ok_value.message)
-            else:
-                await self.wait_for_version(reply.ok_value.version)
+        if running is None or running.done():
+            self.proposals[name] = asyncio.create_task(self.run_proposal(command))
 
-        self.proposals[name] = asyncio.create_task(run())
+    async def run_proposal(self, command: Command) -> None:
+        """Commit a command and wait until the view shows it."""
+        await self.link.commit(command)
+        await self.wait_for_version(self.link.newest_version)
 
     async def wait_for_version(self, version: int) -> None:
         """Wait until the view shows a committed command.
 
         Until then the view would ask for the same command again.
         """
-        self.link.note_newest(version, 0)
         give_up_at = self.clock.now() + VIEW_TIMEOUT_S
         while self.view.version < version and self.clock.now() < give_up_at:
             await self.view.changed.wait(give_up_at - self.clock.now())
@@ -288,32 +297,6 @@
             )
             self.propose(f"release {upstream.upstream}", command)
 
-    def on_trouble(self, runner: UpstreamRunner) -> None:
-        """Find out whether the process of an upstream has ended."""
-        name = runner.upstream.upstream
-        running = self.probes.get(name)
-        if running is None or running.done():
-            self.probes[name] = asyncio.create_task(self.probe(runner))
-
-    async def probe(self, runner: UpstreamRunner) -> None:
-        """Report an upstream that refuses connections as lost.
-
-        The cell reassigns its slots at once, although the lease of this host
-        is still valid. So nothing is sent to this process any more before the
-        report, and what is in flight must have ended.
-        """
-        upstream = runner.upstream
-        if await runner.is_reachable():
-            return
-        logging.warning("upstream %s refuses connections", upstream.upstream)
-        runner.lost = True
-        runner.withdraw()
-        await runner.idle.wait()
-        self.propose(
-            f"lost {upstream.upstream}",
-            UpstreamLost(upstream.upstream, upstream.incarnation),
-        )
-
 
 async def close_when_idle(runner: UpstreamRunner) -> None:
     """Close the connections after the last request in flight has ended."""
--- a/src/sassafraswharf/router/peer_routers.py
+++ b/src/sassafraswharf/router/peer_routers.py
@@ -27,6 +27,7 @@
     headers.DEADLINE_MS,
     headers.UPSTREAM,
     headers.NESTED,
+    headers.SOLO,
     headers.IDEMPOTENCY_KEY,
 )
 
@@ -78,6 +79,8 @@
         fields[headers.HOP] = "1"
         fields[headers.DEADLINE_MS] = str(remaining_ms(request.deadline_at, now))
         fields[headers.UPSTREAM] = upstream
+        if request.solo:
+            fields[headers.SOLO] = "1"
         if parent_id:
             fields[headers.NESTED] = parent_id
         return await self.post(
--- a/src/sassafraswharf/router/request_path.py
+++ b/src/sassafraswharf/router/request_path.py
@@ -94,6 +94,8 @@
             attempt = await self.attempt(request)
             if not await self.tries_again(request, attempt, budget, hold_until):
                 return attempt
+            if attempt.outcome.kind is OutcomeKind.MAY_HAVE_RUN:
+                request = request._replace(solo=True)
 
     async def serve_hop(self, request: Incoming, upstream: UpstreamId) -> RunResult:
         """Serve a request that another router forwarded; it goes no further."""
--- a/src/sassafraswharf/router/request_reader.py
+++ b/src/sassafraswharf/router/request_reader.py
@@ -89,6 +89,7 @@
                 arrived_at,
                 deadline.ok_value,
                 hop,
+                hop and headers.SOLO in request.headers,
             )
         )
 
--- a/src/sassafraswharf/router/router_part.py
+++ b/src/sassafraswharf/router/router_part.py
@@ -27,11 +27,13 @@
 from sassafraswharf.router.answers import refusal
 from sassafraswharf.router.answers import to_response
 from sassafraswharf.router.control_link import ControlLink
+from sassafraswharf.router.crash_watch import CrashWatch
 from sassafraswharf.router.http_server import HttpServer
 from sassafraswharf.router.incoming import RequestIds
 from sassafraswharf.router.journal_slots import JournalSlots
 from sassafraswharf.router.journal_task import JOURNAL_PATH
 from sassafraswharf.router.journal_task import JournalTask
+from sassafraswharf.router.load_meter import LoadMeter
 from sassafraswharf.router.local_service import LocalService
 from sassafraswharf.router.local_upstreams import LocalUpstreams
 from sassafraswharf.router.peer_routers import PeerRouters
@@ -101,10 +103,11 @@
             mailbox,
             datagrams,
             clock,
-            lambda: b"",
+            lambda: self.meter.report(clock.now()),
         )
         self.peers = PeerRouters(self.signer)
         self.journal = JournalTask(self.view, self.peers, clock)
+        self.crashes = CrashWatch(self.view, clock, self.link.commit)
         self.local = LocalService(
             host,
             opening.public_address,
@@ -113,8 +116,10 @@
             clock,
             self.ids,
             self.journal,
+            self.crashes,
             self.link.refresh,
         )
+        self.meter = LoadMeter(self.local.runners)
         self.upstreams = LocalUpstreams(self.view, self.link, self.local, clock)
         self.upstreams.journal_slots = JournalSlots(
             self.view, self.holder, self.journal, clock, self.upstreams.propose
@@ -166,6 +171,7 @@
             logging.warning("requests were still in flight after %s s", DRAIN_TIMEOUT_S)
         await self.link.stop()
         await self.upstreams.stop()
+        await self.crashes.stop()
         await self.journal.stop()
         await self.public.stop()
         await self.internal.stop()
--- a/src/sassafraswharf/router/upstream_runner.py
+++ b/src/sassafraswharf/router/upstream_runner.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from collections import Counter
 from typing import TYPE_CHECKING
 from typing import Final
 from typing import NamedTuple
@@ -31,9 +32,12 @@
     from sassafraswharf.clock import Clock
     from sassafraswharf.membership.values import Upstream
     from sassafraswharf.requests.outcome import Outcome
+    from sassafraswharf.router.crash_watch import CrashWatch
     from sassafraswharf.router.incoming import Incoming
     from sassafraswharf.router.incoming import RequestIds
 
+    BeforeDispatch = Callable[[], Awaitable[Answer | None]]
+
 
 CONNECT_PROBE_S: Final = 0.2
 MESSAGES: Final = {
@@ -44,6 +48,8 @@
     ResultCode.UPSTREAM_TIMEOUT: "the upstream did not answer in time",
 }
 
+MAYBE_CRASHED: Final = frozenset({Exchange.CONNECTION_LOST, Exchange.CUT_SHORT})
+
 
 class Permit(NamedTuple):
     """Why a request may be dispatched, checked right before it is sent.
@@ -80,19 +86,21 @@
         nested_levels: int,
         clock: Clock,
         ids: RequestIds,
-        on_connection_trouble: Callable[[UpstreamRunner], None],
+        crashes: CrashWatch,
     ) -> None:
         """Start with empty queues; connections open on demand and are kept."""
         self.upstream = upstream
         self.clock = clock
         self.ids = ids
-        self.on_connection_trouble = on_connection_trouble
+        self.crashes = crashes
         slots = max(1, min(upstream.slots, upstream.connections))
         self.admission = Admission(slots, nested_levels)
         self.peer = HttpPeer(upstream.address, upstream.connections)
         self.starts: dict[int, asyncio.Future[bool]] = {}
-        self.running: dict[int, Incoming] = {}
+        self.running: dict[int, float] = {}
         self.running_slots: dict[int, int] = {}
+        self.served: Counter[int] = Counter()
+        self.completed_at = clock.now()
         self.lost = False
         self.idle = asyncio.Event()
         self.idle.set()
@@ -107,17 +115,13 @@
         """Hand back all waiting requests as not run."""
         self.resolve(self.admission.withdraw_all(), may_start=False)
 
-    def is_slot_busy(self, slots: frozenset[int]) -> bool:
-        """Return whether a request of one of the slots is in flight."""
-        return not slots.isdisjoint(self.running_slots.values())
-
     async def run(
         self,
         request: Incoming,
         permit: Permit,
         *,
         solo: bool,
-        before_dispatch: Callable[[], Awaitable[Answer | None]] | None = None,
+        before_dispatch: BeforeDispatch | None = None,
     ) -> RunResult:
         """Admit the request, send it and return the whole answer or a refusal.
 
@@ -127,26 +131,48 @@
         refused = await self.admit(request, solo=solo)
         if refused is not None:
             return RunResult(refused, OutcomeKind.NOT_RUN)
+        result, exchange = await self.run_admitted(
+            request, permit, before_dispatch, solo=solo
+        )
+        if exchange in MAYBE_CRASHED:
+            await self.crashes.connection_lost(self, request.request_id)
+        elif result.upstream_failed:
+            self.crashes.probe(self)
+        return result
+
+    async def run_admitted(
+        self,
+        request: Incoming,
+        permit: Permit,
+        before_dispatch: BeforeDispatch | None,
+        *,
+        solo: bool,
+    ) -> tuple[RunResult, Exchange]:
+        """Send an admitted request and free its slot afterwards."""
         started_at = self.clock.now()
-        self.running[request.request_id] = request
-        self.running_slots[request.request_id] = permit.slot
+        request_id = request.request_id
+        self.running[request_id] = started_at
+        self.running_slots[request_id] = permit.slot
+        self.served[permit.slot] += 1
         self.idle.clear()
-        outcome = OUTCOMES[Exchange.CANCELLED]
+        exchange = Exchange.CANCELLED_BEFORE_SEND
         try:
-            if before_dispatch is not None:
-                outcome = OUTCOMES[Exchange.CANCELLED_BEFORE_SEND]
-                refused = await before_dispatch()
-                if refused is not None:
-                    return RunResult(refused, OutcomeKind.NOT_RUN)
-            outcome = OUTCOMES[Exchange.CANCELLED]
+            refused = None if before_dispatch is None else await before_dispatch()
+            if refused is not None:
+                return RunResult(refused, OutcomeKind.NOT_RUN), exchange
+            exchange = Exchange.CANCELLED
+            name = self.upstream.upstream
+            self.crashes.started(name, request_id, request.digest(), alone=solo)
             http = await self.dispatch(request, permit)
             if isinstance(http, Answer):
-                outcome = OUTCOMES[Exchange.NOTHING_SENT]
-                return RunResult(http, OutcomeKind.NOT_RUN)
-            outcome = OUTCOMES[http.exchange]
-            return self.result(http, outcome)
+                exchange = Exchange.NOTHING_SENT
+                return RunResult(http, OutcomeKind.NOT_RUN), exchange
+            exchange = http.exchange
+            return self.result(http, OUTCOMES[exchange]), exchange
         finally:
-            self.finish(request, outcome, started_at)
+            if exchange not in MAYBE_CRASHED:
+                self.crashes.finished(self.upstream.upstream, request_id)
+            self.finish(request_id, OUTCOMES[exchange], started_at)
 
     async def admit(self, request: Incoming, *, solo: bool) -> Answer | None:
         """Wait for a slot; return a refusal when there is none in time."""
@@ -226,18 +252,18 @@
         failure = Failure(outcome.code, f"{self.upstream.upstream}: {message}")
         return RunResult(refusal(failure), outcome.kind, outcome.upstream_failed)
 
-    def finish(self, request: Incoming, outcome: Outcome, started_at: float) -> None:
+    def finish(self, request_id: int, outcome: Outcome, started_at: float) -> None:
         """Free the slot and start what waits."""
         now = self.clock.now()
-        self.running.pop(request.request_id, None)
-        self.running_slots.pop(request.request_id, None)
+        self.running.pop(request_id, None)
+        self.running_slots.pop(request_id, None)
+        if outcome.kind is OutcomeKind.ANSWER:
+            self.completed_at = now
         if not self.running:
             self.idle.set()
         self.resolve(
-            self.admission.finished(request.request_id, now - started_at, outcome, now)
+            self.admission.finished(request_id, now - started_at, outcome, now)
         )
-        if outcome.upstream_failed:
-            self.on_connection_trouble(self)
 
     def resolve(self, request_ids: list[int], *, may_start: bool = True) -> None:
         """Wake requests that may start, or must give up."""
