--- /dev/null
+++ b/src/sassafraswharf/audit/__init__.py
@@ -0,0 +1,3 @@
+"""The audit trail of changes."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/sassafraswharf/cell/delta.py
@@ -0,0 +1,30 @@
+"""What a router pulls from the cell."""
+
+# msgspec resolves the annotations of decoded values when the program runs.
+# ruff: noqa: TC001
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from sassafraswharf.membership.values import Session
+from sassafraswharf.membership.values import Upstream
+from sassafraswharf.ownership.values import TableDelta
+from sassafraswharf.quarantine.suspect_table import Conviction
+
+
+class CellDelta(NamedTuple):
+    """The difference to a version of the cell; full when it starts at 0.
+
+    Upstreams, sessions, convictions and suspects are complete lists. Closed
+    sessions are included while they are named in sources, so that their
+    journal sets can be found. ``suspects`` are digests that must run alone.
+    """
+
+    from_version: int
+    to_version: int
+    tables: tuple[TableDelta, ...]
+    upstreams: tuple[Upstream, ...]
+    sessions: tuple[Session, ...]
+    convictions: tuple[Conviction, ...]
+    suspects: tuple[bytes, ...]
--- /dev/null
+++ b/src/sassafraswharf/cell/state.py
@@ -0,0 +1,399 @@
+"""The replicated state of a cell."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+from sassafraswharf.audit.trail import AuditEntry
+from sassafraswharf.audit.trail import AuditTrail
+from sassafraswharf.cell import commands
+from sassafraswharf.cell import slot_changes
+from sassafraswharf.cell.codec import decode_command
+from sassafraswharf.cell.codec import encode_reply
+from sassafraswharf.cell.commands import Reply
+from sassafraswharf.cell.commands import SessionOpened
+from sassafraswharf.cell.counters import Counters
+from sassafraswharf.cell.delta import CellDelta
+from sassafraswharf.cell.members import Members
+from sassafraswharf.cell.outcome import Outcome
+from sassafraswharf.cell.outcome import accepted
+from sassafraswharf.cell.outcome import refused
+from sassafraswharf.cell.snapshot import CellSnapshot
+from sassafraswharf.cell.snapshot import decode_snapshot
+from sassafraswharf.cell.snapshot import encode_snapshot
+from sassafraswharf.codes import ResultCode
+from sassafraswharf.identifiers import SessionId
+from sassafraswharf.membership.transitions import UpstreamEvent
+from sassafraswharf.ownership.hashing import MAX_SLOT_COUNT
+from sassafraswharf.ownership.slot_table import SlotTable
+from sassafraswharf.quarantine.suspect_table import CrashSeen
+from sassafraswharf.quarantine.suspect_table import SuspectTable
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sassafraswharf.identifiers import ServiceName
+    from sassafraswharf.identifiers import UpstreamId
+    from sassafraswharf.membership.values import Session
+    from sassafraswharf.membership.values import Upstream
+    from sassafraswharf.ownership.values import Holding
+
+
+class CellState:
+    """Sessions, upstreams, slot tables, suspects and audit trail of a cell.
+
+    The same commands at the same indexes give the same state on every replica.
+    Commands are checked when they are applied: a slot changes its owner only
+    if at that point no live session may serve it.
+    """
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.services: dict[ServiceName, commands.ServiceSpec] = {}
+        self.members = Members()
+        self.tables: dict[ServiceName, SlotTable] = {}
+        self.trail = AuditTrail()
+        self.suspects = SuspectTable()
+        self.counters = Counters()
+        self.version = 0
+        self.applied_index = 0
+        self.last_at = 0.0
+        self._orphaned = 0
+        self._closing = 0
+
+    @property
+    def sessions(self) -> dict[SessionId, Session]:
+        """Sessions that are open, superseded, or closed and still needed."""
+        return self.members.sessions
+
+    @property
+    def upstreams(self) -> dict[UpstreamId, Upstream]:
+        """All upstreams that were ever announced and not forgotten."""
+        return self.members.upstreams
+
+    def apply(self, index: int, command: bytes) -> bytes:
+        """Apply an encoded command and return the encoded reply.
+
+        Damaged data changes nothing and is answered with code 6001.
+        """
+        decoded = decode_command(command)
+        self.applied_index = index
+        if decoded.is_err():
+            failure = decoded.unwrap_err()
+            reply = Reply(int(failure.code), failure.message, self.version, 0)
+            return encode_reply(reply)
+        value = decoded.unwrap()
+        self._advance(value.at)
+        outcome = _HANDLERS[type(value)](self, index, value)
+        if outcome.changed:
+            self.version = index
+            self._recount()
+        self._audit(index, value, outcome)
+        return encode_reply(self._reply(value, outcome))
+
+    def is_orphaned(self, holding: Holding) -> bool:
+        """Return whether no live session may serve slots held like this."""
+        return holding.upstream is None or not (
+            self.members.may_be_served(holding.session)
+            and self.members.is_present(holding.upstream)
+        )
+
+    def delta_since(self, version: int) -> CellDelta:
+        """Return what a router at ``version`` lacks."""
+        return CellDelta(
+            version,
+            self.version,
+            tuple(
+                table.delta_since(version, self.version)
+                for table in self.tables.values()
+            ),
+            tuple(self.upstreams.values()),
+            tuple(self.sessions.values()),
+            self.suspects.convictions(),
+            self.suspects.suspected(),
+        )
+
+    def snapshot(self) -> bytes:
+        """Return the encoded state."""
+        return encode_snapshot(
+            CellSnapshot(
+                self.applied_index,
+                self.version,
+                self.last_at,
+                self.revision,
+                tuple(self.services.values()),
+                tuple(self.sessions.values()),
+                tuple(self.upstreams.values()),
+                tuple(table.pack() for table in self.tables.values()),
+                tuple(self.trail.entries),
+                tuple(self.suspects.suspects.values()),
+                tuple(self.suspects.crashes),
+                self.counters,
+            )
+        )
+
+    def restore(self, snapshot: bytes) -> None:
+        """Replace the state; a damaged snapshot raises ``StorageError`` (5005)."""
+        value = decode_snapshot(snapshot)
+        self.applied_index = value.applied_index
+        self.version = value.version
+        self.last_at = value.last_at
+        self.revision = value.revision
+        self.services = {spec.name: spec for spec in value.services}
+        self.members = Members(value.sessions, value.upstreams)
+        self.tables = {
+            packed.service: SlotTable.unpack(packed) for packed in value.tables
+        }
+        self.trail = AuditTrail(value.trail)
+        self.suspects = SuspectTable(value.suspects, value.crashes)
+        self.counters = value.counters
+        self._recount()
+
+    def _advance(self, at: float) -> None:
+        # Wall clocks of successive leaders may differ; time never goes back here.
+        if at <= self.last_at:
+            return
+        if self.last_at:
+            elapsed = at - self.last_at
+            self.counters = self.counters._replace(
+                unavailable_slot_s=self.counters.unavailable_slot_s
+                + elapsed * self._orphaned,
+                closing_slot_s=self.counters.closing_slot_s + elapsed * self._closing,
+            )
+        self.last_at = at
+        self.suspects.expire(at)
+
+    def _recount(self) -> None:
+        orphaned = closing = 0
+        for name, table in self.tables.items():
+            if name not in self.services:
+                continue
+            for holding, slots in table.holdings():
+                if self.is_orphaned(holding):
+                    orphaned += slots
+                elif holding.closing:
+                    closing += slots
+        self._orphaned = orphaned
+        self._closing = closing
+
+    def _audit(self, index: int, command: commands.Command, outcome: Outcome) -> None:
+        operator = getattr(command, "actor", "")
+        if not outcome.changed and not operator:
+            return
+        revision = index
+        if isinstance(command, commands.SetServices):
+            revision = command.revision
+        self.trail.record(
+            AuditEntry(
+                command.at,
+                operator or getattr(command, "host", "cell"),
+                type(command).__name__,
+                outcome.subject,
+                revision,
+                int(outcome.code),
+            )
+        )
+
+    def _reply(self, command: commands.Command, outcome: Outcome) -> commands.AnyReply:
+        if isinstance(command, commands.OpenSession):
+            session = int(outcome.subject) if outcome.code == ResultCode.OK else 0
+            return SessionOpened(
+                int(outcome.code), outcome.message, self.version, SessionId(session)
+            )
+        return Reply(int(outcome.code), outcome.message, self.version, outcome.changed)
+
+    def _set_services(self, _index: int, command: commands.SetServices) -> Outcome:
+        subject = f"revision {command.revision}"
+        if command.revision <= self.revision:
+            message = f"revision {self.revision} is in force"
+            code = ResultCode.CONFIGURATION_CONFLICT
+            if command.revision == self.revision:
+                code = ResultCode.OK
+            return refused(code, subject, message)
+        for spec in command.services:
+            problem = self._problem_of(spec)
+            if problem:
+                return refused(ResultCode.CONFIGURATION_INVALID, subject, problem)
+        self.revision = command.revision
+        self.services = {spec.name: spec for spec in command.services}
+        for spec in command.services:
+            # A service that returns keeps its table: a session may still serve
+            # its slots.
+            if spec.name not in self.tables:
+                self.tables[spec.name] = SlotTable(spec.name, spec.slot_count)
+        self._admit_announced()
+        return accepted(subject)
+
+    def _problem_of(self, spec: commands.ServiceSpec) -> str:
+        if not 0 < spec.slot_count <= MAX_SLOT_COUNT:
+            return f"{spec.name}: slot count {spec.slot_count} is out of range"
+        table = self.tables.get(spec.name)
+        if table is not None and table.slot_count != spec.slot_count:
+            return f"{spec.name}: the slot count can't change"
+        return ""
+
+    def _admits_any(self, service: ServiceName) -> bool:
+        spec = self.services.get(service)
+        return spec is not None and spec.admit_any
+
+    def _admit_announced(self) -> None:
+        for upstream in list(self.upstreams.values()):
+            if self._admits_any(upstream.service):
+                self.members.change(upstream.upstream, UpstreamEvent.ADMIT)
+
+    def _open_session(self, index: int, command: commands.OpenSession) -> Outcome:
+        return self.members.open_session(SessionId(index), command)
+
+    def _close_session(self, _index: int, command: commands.CloseSession) -> Outcome:
+        outcome = self.members.close_session(command.session)
+        self._forget_sessions()
+        return outcome
+
+    def _set_peers(self, _index: int, command: commands.SetJournalPeers) -> Outcome:
+        return self.members.set_peers(command)
+
+    def _peers_ready(self, _index: int, command: commands.JournalPeersReady) -> Outcome:
+        return self.members.peers_ready(command)
+
+    def _announce(self, _index: int, command: commands.AnnounceUpstream) -> Outcome:
+        outcome = self.members.announce(command)
+        if outcome.code == ResultCode.OK and self._admits_any(command.service):
+            self.members.change(command.upstream, UpstreamEvent.ADMIT)
+        return outcome
+
+    def _admit(self, _index: int, command: commands.AdmitUpstream) -> Outcome:
+        return self.members.change(command.upstream, UpstreamEvent.ADMIT)
+
+    def _drain(self, index: int, command: commands.DrainUpstream) -> Outcome:
+        outcome = self.members.change(command.upstream, UpstreamEvent.DRAIN)
+        if outcome.changed:
+            # Closing the slots here needs no further decision of the leader, so
+            # the drain proceeds even if the leader is lost now.
+            table, slots = self._slots_of(command.upstream)
+            if table is not None:
+                slot_changes.close_slots(table, slots, index)
+        return outcome
+
+    def _remove(self, _index: int, command: commands.RemoveUpstream) -> Outcome:
+        _, slots = self._slots_of(command.upstream)
+        if slots:
+            message = f"{len(slots)} slots have not been released"
+            return refused(
+                ResultCode.INVALID_TRANSITION, str(command.upstream), message
+            )
+        return self.members.change(command.upstream, UpstreamEvent.REMOVE)
+
+    def _lost(self, _index: int, command: commands.UpstreamLost) -> Outcome:
+        return self.members.lose(command)
+
+    def _slots_of(self, upstream: UpstreamId) -> tuple[SlotTable | None, list[int]]:
+        known = self.upstreams.get(upstream)
+        table = self.tables.get(known.service) if known else None
+        if table is None:
+            return None, []
+        slots = table.slots_where(
+            lambda holding: (
+                holding.upstream == upstream and not self.is_orphaned(holding)
+            )
+        )
+        return table, slots
+
+    def _slots(
+        self,
+        service: ServiceName,
+        change: Callable[[SlotTable], int],
+    ) -> Outcome:
+        table = self.tables.get(service)
+        if table is None:
+            return refused(ResultCode.UNKNOWN_SERVICE, str(service), "unknown service")
+        changed = change(table)
+        if not changed:
+            return refused(ResultCode.STALE_EPOCH, str(service), "no slot changed")
+        self._forget_sessions()
+        return accepted(f"{service}: {changed} slots", changed)
+
+    def _close_slots(self, index: int, command: commands.CloseSlots) -> Outcome:
+        return self._slots(
+            command.service,
+            lambda table: slot_changes.close_ranges(
+                table, command, index, self.is_orphaned
+            ),
+        )
+
+    def _released(self, index: int, command: commands.SlotsReleased) -> Outcome:
+        return self._slots(
+            command.service, lambda table: slot_changes.release(table, command, index)
+        )
+
+    def _ready(self, index: int, command: commands.JournalReady) -> Outcome:
+        return self._slots(
+            command.service,
+            lambda table: slot_changes.journal_ready(table, command, index),
+        )
+
+    def _assign(self, index: int, command: commands.AssignSlots) -> Outcome:
+        def accepts(upstream: UpstreamId, session: SessionId) -> bool:
+            return self.members.accepts_slots(upstream, session, command.service)
+
+        def change(table: SlotTable) -> int:
+            done = slot_changes.assign(table, command, index, self.is_orphaned, accepts)
+            self.counters = self.counters._replace(
+                slots_assigned=self.counters.slots_assigned + done.assigned,
+                slots_moved=self.counters.slots_moved + done.moved,
+                slots_returned=self.counters.slots_returned + done.returned,
+            )
+            return done.assigned
+
+        return self._slots(command.service, change)
+
+    def _forget_sessions(self) -> None:
+        named: set[SessionId] = set()
+        for table in self.tables.values():
+            named |= table.sessions()
+        self.members.forget_sessions(named)
+
+    def _crash(self, _index: int, command: commands.ReportCrash) -> Outcome:
+        seen = CrashSeen(command.upstream, command.incarnation)
+        changed = self.suspects.report_crash(
+            seen, command.digests, command.alone, self.last_at
+        )
+        return accepted(_subject(changed), len(changed))
+
+    def _clear(self, _index: int, command: commands.ClearSuspects) -> Outcome:
+        cleared = [d for d in command.digests if self.suspects.clear(d)]
+        return accepted(_subject(cleared), len(cleared))
+
+    def _release_suspect(
+        self, _index: int, command: commands.ReleaseSuspect
+    ) -> Outcome:
+        subject = command.digest.hex()
+        if not self.suspects.release(command.digest):
+            return refused(ResultCode.INVALID_TRANSITION, subject, "not convicted")
+        return accepted(subject)
+
+
+def _subject(digests: list[bytes]) -> str:
+    return " ".join(digest.hex() for digest in digests)
+
+
+_HANDLERS: dict[type[Any], Callable[[CellState, int, Any], Outcome]] = {
+    commands.SetServices: CellState._set_services,
+    commands.OpenSession: CellState._open_session,
+    commands.CloseSession: CellState._close_session,
+    commands.SetJournalPeers: CellState._set_peers,
+    commands.JournalPeersReady: CellState._peers_ready,
+    commands.AnnounceUpstream: CellState._announce,
+    commands.AdmitUpstream: CellState._admit,
+    commands.DrainUpstream: CellState._drain,
+    commands.RemoveUpstream: CellState._remove,
+    commands.UpstreamLost: CellState._lost,
+    commands.CloseSlots: CellState._close_slots,
+    commands.SlotsReleased: CellState._released,
+    commands.AssignSlots: CellState._assign,
+    commands.JournalReady: CellState._ready,
+    commands.ReportCrash: CellState._crash,
+    commands.ClearSuspects: CellState._clear,
+    commands.ReleaseSuspect: CellState._release_suspect,
+}
--- /dev/null
+++ b/src/sassafraswharf/leases/__init__.py
@@ -0,0 +1,3 @@
+"""Leases of host sessions."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/sassafraswharf/leases/holder.py
@@ -0,0 +1,115 @@
+"""The router's side of the lease of its host session."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sassafraswharf.codes import ResultCode
+from sassafraswharf.identifiers import SessionId
+from sassafraswharf.leases.messages import LeaseRenewal
+
+
+if TYPE_CHECKING:
+    from sassafraswharf.identifiers import HostId
+    from sassafraswharf.identifiers import ReplicaId
+    from sassafraswharf.leases.messages import LeaseAck
+    from sassafraswharf.leases.messages import LeaseRefusal
+    from sassafraswharf.leases.messages import LeaseTiming
+
+
+NO_SESSION = SessionId(0)
+NEVER = float("-inf")
+
+
+class LeaseHolder:
+    """Decides by the host's own clock whether the host may serve its slots.
+
+    Each term is measured from before the renewal was sent, so it ends on the
+    holder before it ends on the grantor. ``configuration_revision``,
+    ``table_version`` and ``load`` are sent with each renewal and are set by
+    the owner of the holder. All instants are seconds on the boot-time clock.
+    """
+
+    def __init__(self, host: HostId, timing: LeaseTiming) -> None:
+        self.host = host
+        self.timing = timing
+        self.session = NO_SESSION
+        self.expires_at = NEVER
+        self.sequence = 0
+        self.leader_term = 0
+        self.leader_hint: ReplicaId | None = None
+        self.configuration_revision = 0
+        self.table_version = 0
+        self.load = b""
+        self._last_sent_at = NEVER
+        self._sent_at: dict[int, float] = {}
+
+    def open(self, session: SessionId, sent_at: float) -> None:
+        """Use a session whose opening was requested at ``sent_at``.
+
+        The lease starts with the first acknowledged renewal and not here: a
+        repeated request to open is answered with the session of the first
+        one, and the grantor has counted its term from then.
+        """
+        self.session = session
+        self.expires_at = sent_at
+        self._last_sent_at = NEVER
+        self._sent_at.clear()
+
+    def close(self) -> None:
+        """Give up the session; the host serves nothing from now on."""
+        self.session = NO_SESSION
+        self.expires_at = NEVER
+        self._sent_at.clear()
+
+    def next_renewal(self, now: float) -> LeaseRenewal | None:
+        """Return the renewal to send now, or None if none is due."""
+        if self.session == NO_SESSION:
+            return None
+        if now < self._last_sent_at + self.timing.renew_every_s:
+            return None
+        self._last_sent_at = now
+        self.sequence += 1
+        self._forget_before(now - self.timing.term_s)
+        self._sent_at[self.sequence] = now
+        return LeaseRenewal(
+            self.host,
+            self.session,
+            self.sequence,
+            self.configuration_revision,
+            self.table_version,
+            self.load,
+        )
+
+    def on_ack(self, ack: LeaseAck, now: float) -> None:
+        """Extend the lease from the instant the renewal was sent."""
+        if ack.session != self.session:
+            return
+        sent_at = self._sent_at.pop(ack.sequence, None)
+        if sent_at is None or now < sent_at:
+            return
+        self.leader_term = max(self.leader_term, ack.leader_term)
+        term_s = min(ack.term_s, self.timing.term_s)
+        self.expires_at = max(self.expires_at, sent_at + term_s)
+
+    def on_refusal(self, refusal: LeaseRefusal, now: float) -> None:
+        """End the session if the cell has closed it; remember the leader."""
+        if refusal.session != self.session:
+            return
+        if refusal.leader_hint is not None:
+            self.leader_hint = refusal.leader_hint
+        if refusal.code == ResultCode.SESSION_CLOSED:
+            self.close()
+            return
+        # Another replica may be the leader: the next renewal is due at once,
+        # but not more often than this host can be answered.
+        self._last_sent_at = min(self._last_sent_at, now - self.timing.renew_every_s)
+
+    def is_valid(self, now: float) -> bool:
+        """Return whether the host may serve its slots at ``now``."""
+        return self.session != NO_SESSION and now < self.expires_at
+
+    def _forget_before(self, instant: float) -> None:
+        old = [key for key, sent_at in self._sent_at.items() if sent_at < instant]
+        for key in old:
+            del self._sent_at[key]
--- /dev/null
+++ b/src/sassafraswharf/membership/__init__.py
@@ -0,0 +1,3 @@
+"""Host sessions and upstreams of a cell."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/sassafraswharf/ownership/__init__.py
@@ -0,0 +1,3 @@
+"""Slots of services and the upstreams that own them."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/sassafraswharf/placement/__init__.py
@@ -0,0 +1,3 @@
+"""The choice of owners for slots."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/sassafraswharf/placement/planner.py
@@ -0,0 +1,214 @@
+"""The planner that selects owners for slots."""
+
+from __future__ import annotations
+
+import heapq
+
+from typing import TYPE_CHECKING
+
+from sassafraswharf.placement.balance import Balance
+from sassafraswharf.placement.balance import Bin
+from sassafraswharf.placement.orphans import place_orphans
+from sassafraswharf.placement.slot_index import SlotIndex
+from sassafraswharf.placement.values import Move
+from sassafraswharf.placement.values import PlannerLimits
+from sassafraswharf.placement.values import Weights
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Iterator
+    from collections.abc import Mapping
+    from collections.abc import Sequence
+
+    from sassafraswharf.identifiers import UpstreamId
+    from sassafraswharf.ownership.slot_table import SlotTable
+    from sassafraswharf.placement.values import UpstreamLoad
+
+
+BURST_S = 10.0
+PLAN_LIFETIME_S = 30.0
+CHURN_UNIT = 0.1
+MAX_MOVES_PER_PLAN = 512
+
+
+class Planner:
+    """Plans the slots of one service; keeps its index between calls.
+
+    The planner minimises the weighted sum of imbalance, churn and unavailable
+    time. Imbalance is the variance of relative utilisation (load divided by
+    speed, relative to the mean), weighted by speed. Each move must gain more
+    than its churn and its handover cost.
+    """
+
+    def __init__(
+        self, weights: Weights | None = None, limits: PlannerLimits | None = None
+    ) -> None:
+        self.weights = weights or Weights()
+        self.limits = limits or PlannerLimits()
+        self.index = SlotIndex()
+        self._planned: dict[int, tuple[UpstreamId, float]] = {}
+        self._moved_at: dict[int, float] = {}
+        self._tokens = 0.0
+        self._tokens_at: float | None = None
+
+    def plan(
+        self,
+        table: SlotTable,
+        upstreams: Sequence[UpstreamLoad],
+        slot_loads: Mapping[int, float],
+        now: float,
+        orphans: Iterable[int] | None = None,
+    ) -> list[Move]:
+        """Return the moves to start now.
+
+        Moves of orphaned slots come first, have no source and no limit. All
+        other moves must be followed by a handover. ``slot_loads`` needs only
+        the slots with more than average load, in requests per second.
+        ``orphans`` defaults to the slots of upstreams that are not available
+        and of nobody. A slot that was planned to move counts as moved for
+        30 s. ``now`` is in seconds.
+        """
+        self.index.follow(table)
+        self._forget_old(now)
+        available = {load.upstream for load in upstreams if load.available}
+        lost = self._orphans(table, available) if orphans is None else list(orphans)
+        planned = {slot: target for slot, (target, _) in self._planned.items()}
+        balance = Balance(self.index, upstreams, slot_loads, table, lost, planned)
+        moves = place_orphans(table, lost, balance, planned)
+        for move in moves:
+            self._planned.pop(move.slot, None)
+        if not balance.bins:
+            return moves
+        budget = self._budget(table.slot_count, now)
+        planned_moves = list(self._rebalance(table, balance, budget, set(lost), now))
+        self._tokens -= len(planned_moves)
+        for move in planned_moves:
+            self._planned[move.slot] = (move.target, now)
+            self._moved_at[move.slot] = now
+        return moves + planned_moves
+
+    def _orphans(self, table: SlotTable, available: set[UpstreamId]) -> list[int]:
+        return table.slots_where(
+            lambda holding: (
+                not holding.closing
+                and (holding.upstream is None or holding.upstream not in available)
+            )
+        )
+
+    def _budget(self, slot_count: int, now: float) -> int:
+        per_minute = self.limits.moves_per_minute or max(16, slot_count // 4)
+        burst = max(1.0, per_minute * BURST_S / 60)
+        if self._tokens_at is None:
+            self._tokens = burst
+        else:
+            elapsed = max(0.0, now - self._tokens_at)
+            self._tokens = min(burst, self._tokens + elapsed * per_minute / 60)
+        self._tokens_at = now
+        return min(MAX_MOVES_PER_PLAN, int(self._tokens))
+
+    def _rebalance(
+        self,
+        table: SlotTable,
+        balance: Balance,
+        budget: int,
+        excluded: set[int],
+        now: float,
+    ) -> Iterator[Move]:
+        givers = [(-item.excess, item.position) for item in balance.bins]
+        takers = [(item.excess, item.position) for item in balance.bins]
+        heapq.heapify(givers)
+        heapq.heapify(takers)
+        while budget > 0 and givers:
+            source = _pop_current(givers, balance, -1.0)
+            target = _peek_current(takers, balance)
+            if source is None or target is None or source.excess <= 0:
+                return
+            slot = self._best_slot(table, balance, source, target, excluded, now)
+            if slot is None:
+                continue
+            excluded.add(slot)
+            balance.move(slot, source, target)
+            budget -= 1
+            for item in (source, target):
+                heapq.heappush(givers, (-item.excess, item.position))
+                heapq.heappush(takers, (item.excess, item.position))
+            yield Move(slot, source.upstream, target.upstream)
+
+    def _best_slot(
+        self,
+        table: SlotTable,
+        balance: Balance,
+        source: Bin,
+        target: Bin,
+        excluded: set[int],
+        now: float,
+    ) -> int | None:
+        cost = self._cost_of_move()
+        best: int | None = None
+        best_benefit = self.limits.min_benefit
+        bound = self.weights.imbalance * balance.gain_bound(source, target)
+        if bound - cost <= best_benefit:
+            return None
+        for slot in balance.candidates(source, excluded, self._is_movable(table, now)):
+            gain = balance.gain(balance.load_of(slot), source, target)
+            benefit = self.weights.imbalance * gain - cost
+            if benefit > best_benefit:
+                best, best_benefit = slot, benefit
+        return best
+
+    def _cost_of_move(self) -> float:
+        unavailable = self.weights.unavailable * self.limits.handover_s
+        return CHURN_UNIT * self.weights.churn + unavailable
+
+    def _is_movable(self, table: SlotTable, now: float) -> _Movable:
+        return _Movable(table, self._moved_at, now - self.limits.cooldown_s)
+
+    def _forget_old(self, now: float) -> None:
+        for slot, (target, at) in list(self._planned.items()):
+            arrived = self.index.owner.get(slot) == target
+            if arrived or now - at > PLAN_LIFETIME_S:
+                del self._planned[slot]
+        limit = now - self.limits.cooldown_s
+        for slot, at in list(self._moved_at.items()):
+            if at >= limit:
+                # Entries are in the order of time, except for repeated moves.
+                break
+            del self._moved_at[slot]
+
+
+class _Movable:
+    """Whether a slot may be moved: not in handover and not moved lately."""
+
+    def __init__(
+        self, table: SlotTable, moved_at: dict[int, float], limit: float
+    ) -> None:
+        self.table = table
+        self.moved_at = moved_at
+        self.limit = limit
+
+    def __call__(self, slot: int) -> bool:
+        if self.moved_at.get(slot, self.limit - 1) >= self.limit:
+            return False
+        return not self.table.holding(slot).closing
+
+
+def _pop_current(
+    heap: list[tuple[float, int]], balance: Balance, sign: float
+) -> Bin | None:
+    while heap:
+        key, position = heapq.heappop(heap)
+        item = balance.bins[position]
+        if key == sign * item.excess:
+            return item
+    return None
+
+
+def _peek_current(heap: list[tuple[float, int]], balance: Balance) -> Bin | None:
+    while heap:
+        key, position = heap[0]
+        item = balance.bins[position]
+        if key == item.excess and item.available:
+            return item
+        heapq.heappop(heap)
+    return None
--- /dev/null
+++ b/src/sassafraswharf/quarantine/suspect_table.py
@@ -0,0 +1,144 @@
+"""The cell's table of suspected and convicted requests."""
+
+# msgspec resolves the annotations of decoded values when the program runs.
+# ruff: noqa: TC001
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from sassafraswharf.identifiers import UpstreamId
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Sequence
+
+
+CONVICTION_S = 600.0
+SUSPICION_S = 600.0
+MAX_SUSPECTS = 4_096
+MAX_CRASHES = 1_024
+
+
+class Suspect(NamedTuple):
+    """A request, by its digest, that ran on an upstream that crashed.
+
+    ``convicted_until`` is 0.0 while the request is only suspected. Times are
+    wall-clock seconds.
+    """
+
+    digest: bytes
+    crashes: int
+    seen_at: float
+    convicted_until: float
+    released: bool
+
+
+class Conviction(NamedTuple):
+    """A request that is refused on all routers until ``until_at``."""
+
+    digest: bytes
+    until_at: float
+
+
+class CrashSeen(NamedTuple):
+    """A crash that was counted, so that a resent report counts once."""
+
+    upstream: UpstreamId
+    incarnation: int
+
+
+class SuspectTable:
+    """Counts crashes per request; deterministic, part of the cell's state.
+
+    The first crash makes every request that was running a suspect. A later
+    crash convicts a suspect only if it ran alone.
+    """
+
+    def __init__(
+        self, suspects: Iterable[Suspect] = (), crashes: Iterable[CrashSeen] = ()
+    ) -> None:
+        self.suspects = {suspect.digest: suspect for suspect in suspects}
+        self.crashes = dict.fromkeys(crashes)
+
+    def report_crash(
+        self, crash: CrashSeen, digests: Sequence[bytes], alone: bool, at: float
+    ) -> list[bytes]:
+        """Count a crash and return the digests whose state changed."""
+        if crash in self.crashes:
+            return []
+        self.crashes[crash] = None
+        while len(self.crashes) > MAX_CRASHES:
+            del self.crashes[next(iter(self.crashes))]
+        ran_alone = alone and len(digests) == 1
+        unique = list(dict.fromkeys(digests))
+        for digest in unique:
+            self._count(digest, ran_alone, at)
+        self._bound()
+        return unique
+
+    def clear(self, digest: bytes) -> bool:
+        """Forget a suspect that ran alone without a crash."""
+        suspect = self.suspects.get(digest)
+        if suspect is None or suspect.convicted_until:
+            return False
+        del self.suspects[digest]
+        return True
+
+    def release(self, digest: bytes) -> bool:
+        """End a conviction; the request runs alone the next time."""
+        suspect = self.suspects.get(digest)
+        if suspect is None or not suspect.convicted_until:
+            return False
+        self.suspects[digest] = suspect._replace(
+            crashes=0, convicted_until=0.0, released=True
+        )
+        return True
+
+    def expire(self, at: float) -> list[bytes]:
+        """Drop convictions and suspicions that have ended, and return them."""
+        over = [
+            digest for digest, suspect in self.suspects.items() if _end(suspect) <= at
+        ]
+        for digest in over:
+            del self.suspects[digest]
+        return over
+
+    def convictions(self) -> tuple[Conviction, ...]:
+        """Return the convicted requests."""
+        return tuple(
+            Conviction(suspect.digest, suspect.convicted_until)
+            for suspect in self.suspects.values()
+            if suspect.convicted_until
+        )
+
+    def suspected(self) -> tuple[bytes, ...]:
+        """Return the digests of requests that must run alone."""
+        return tuple(
+            suspect.digest
+            for suspect in self.suspects.values()
+            if not suspect.convicted_until
+        )
+
+    def _count(self, digest: bytes, alone: bool, at: float) -> None:
+        suspect = self.suspects.pop(digest, None) or Suspect(digest, 0, at, 0.0, False)
+        convicted_until = suspect.convicted_until
+        if alone and suspect.crashes and not convicted_until:
+            convicted_until = at + CONVICTION_S
+        self.suspects[digest] = suspect._replace(
+            crashes=suspect.crashes + 1, seen_at=at, convicted_until=convicted_until
+        )
+
+    def _bound(self) -> None:
+        excess = len(self.suspects) - MAX_SUSPECTS
+        if excess <= 0:
+            return
+        oldest = [d for d, s in self.suspects.items() if not s.convicted_until]
+        for digest in oldest[:excess]:
+            del self.suspects[digest]
+
+
+def _end(suspect: Suspect) -> float:
+    return suspect.convicted_until or suspect.seen_at + SUSPICION_S
