--- a/src/sassafraswharf/quarantine/__init__.py
+++ b/src/sassafraswharf/quarantine/__init__.py
@@ -1,3 +1,3 @@
-"""Requests that crash the upstreams which run them."""
+"""Requests that crash the upstreams that run them."""
 
 from __future__ import annotations
--- a/tests/quarantine/__init__.py
+++ b/tests/quarantine/__init__.py
@@ -1,3 +1,1 @@
-"""Tests of the quarantine of crashing requests."""
-
 from __future__ import annotations
