--- a/src/sassafraswharf/consensus/actions.py
+++ b/src/sassafraswharf/consensus/actions.py
@@ -33,7 +33,6 @@
     identity: ReplicaId
     term: int = 0
     voted_for: ReplicaId | None = None
-    promised_to: ReplicaId | None = None
     founding: Voters = Voters()
 
 
--- a/src/sassafraswharf/consensus/membership.py
+++ b/src/sassafraswharf/consensus/membership.py
@@ -39,7 +39,11 @@
     A group is founded once. The host whose name sorts first asks every named
     host for a promise, which only an empty replica gives, and founds the group
     when it has all of them. A host that lost its disk later has a new identity
-    and finds at least one member that gives no promise, so it can only join.
+    and finds at least one member that gives no promise, so it can only join. If
+    the founder loses its disk before any other host knew of the founding, both
+    the old and the new founding may reach some hosts. They differ only in the
+    founder's identity, and every majority of the old one without the lost
+    founder shares a voter with every majority of the new one.
     """
 
     was_member = False
@@ -89,13 +93,12 @@
     def on_founding_query(
         self, sender: ReplicaId, message: FoundingQuery, now: float
     ) -> None:
-        """Promise to accept voters from the sender only, if this replica is empty."""
+        """Tell the founder that this replica was empty after the founder started."""
         del now
         if self.is_founded or message.names != self.names:
             return
         if host_name(sender) != self.founder:
             return
-        self.update_state(self.state._replace(promised_to=sender))
         self.send(sender, FoundingPromise(sender))
 
     def on_founding_promise(
@@ -121,10 +124,9 @@
     def on_founding_voters(
         self, sender: ReplicaId, message: FoundingVoters, now: float
     ) -> None:
-        """Become a voter of the group that was promised to the sender."""
-        if self.is_founded or self.state.promised_to != sender:
-            return
-        if self.identity in message.voters.voters:
+        """Become a voter of a new group."""
+        del sender
+        if not self.is_founded and self.identity in message.voters.voters:
             self.adopt(message.voters, now)
 
     def adopt(self, founding: Voters, now: float) -> None:
@@ -135,7 +137,12 @@
         self.start_election_timer(now)
 
     def on_join(self, sender: ReplicaId, message: JoinRequest, now: float) -> None:
-        """Add a replica as a learner, or pass its request to the leader."""
+        """Add a replica as a learner, or pass its request to the leader.
+
+        A founding voter that missed the founding gets the voters again.
+        """
+        if message.replica in self.state.founding.voters:
+            self.send(message.replica, FoundingVoters(self.state.founding))
         if self.role is Role.LEADER:
             if message.replica not in self.log.voters.members:
                 change = VoterChange(VoterChangeKind.ADD_LEARNER, message.replica)
--- a/src/sassafraswharf/consensus/messages.py
+++ b/src/sassafraswharf/consensus/messages.py
@@ -110,7 +110,7 @@
 
 
 class FoundingPromise(NamedTuple):
-    """The sender is empty and accepts founding voters only from the receiver."""
+    """The sender is empty; sent in answer to a query of this founder."""
 
     founder: ReplicaId
 
