--- a/src/sassafraswharf/consensus/election.py
+++ b/src/sassafraswharf/consensus/election.py
@@ -162,11 +162,12 @@
         voters = [one for one in self.log.voters.voters if one in self.progress]
         if self.role is not Role.LEADER or self.transfer_to or not voters:
             return
+        fresh_since = now - self.timing.election_min_s
         self.transfer_to = max(
             voters,
             key=lambda one: (
+                self.progress[one].contact_at > fresh_since,
                 self.progress[one].match_index,
-                self.progress[one].contact_at,
                 one,
             ),
         )
--- a/src/sassafraswharf/consensus/membership.py
+++ b/src/sassafraswharf/consensus/membership.py
@@ -46,7 +46,6 @@
     founder shares a voter with every majority of the new one.
     """
 
-    was_member = False
     join_due_at = 0.0
 
     # Founding and joining.
@@ -74,8 +73,9 @@
     def wants_to_join(self, now: float) -> bool:
         """Return whether no leader knows this replica.
 
-        A replica that was removed by a voter change stays away. One whose
-        addition was lost with a leader still finds itself in its log.
+        A voter that was removed stays away until it restarts. A learner asks
+        again, because its addition may be lost with a leader, or undone by a
+        delayed request of an older identity of its host.
         """
         if self.is_voter:
             return False
@@ -85,10 +85,10 @@
         return silent and not self.was_removed()
 
     def was_removed(self) -> bool:
-        """Return whether an older configuration in the log had this replica."""
+        """Return whether this replica is no member but was a voter."""
         if self.identity in self.log.voters.members:
             return False
-        return any(self.identity in one.members for _, one in self.log.configurations)
+        return any(self.identity in one.voters for _, one in self.log.configurations)
 
     def on_founding_query(
         self, sender: ReplicaId, message: FoundingQuery, now: float
--- a/src/sassafraswharf/consensus/snapshots.py
+++ b/src/sassafraswharf/consensus/snapshots.py
@@ -6,6 +6,7 @@
 
 from sassafraswharf.consensus.actions import InstallSnapshot
 from sassafraswharf.consensus.actions import Role
+from sassafraswharf.consensus.core import NEVER
 from sassafraswharf.consensus.entry import Snapshot
 from sassafraswharf.consensus.messages import AppendReply
 from sassafraswharf.consensus.messages import SnapshotChunk
@@ -72,7 +73,7 @@
             return
         if message.received != progress.snapshot_offset:
             progress.snapshot_offset = message.received
-            progress.snapshot_sent_at = 0.0
+            progress.snapshot_sent_at = NEVER
         self.send_chunk(sender, now)
 
     def on_append_reply(
--- a/src/sassafraswharf/consensus/storage.py
+++ b/src/sassafraswharf/consensus/storage.py
@@ -96,6 +96,9 @@
         if entries and entries[0].log_index > covered + 1:
             message = f"the log starts at {entries[0].log_index}, after {covered}"
             raise StorageError(Failure(ResultCode.LOG_CORRUPT, message))
+        last_term = max([entry.term for entry in entries[-1:]], default=0)
+        if max(last_term, snapshot.term if snapshot else 0) > state.term:
+            raise self.mismatch(f"the log is newer than term {state.term}")
         if entries and entries[-1].log_index <= covered:
             self.log.rewrite(())
             entries = ()
