Read a lone hyphen as standard input

`apply -` ended with "Unknown option: -", found by running the command by hand against the example. Allowing leading hyphens for the argument was ruled out: a mistyped option was then taken for the file, and its message did not name the option any more.

--- a/src/sassafraswharf/console/admin_client.py
+++ b/src/sassafraswharf/console/admin_client.py
@@ -140,8 +140,11 @@
                 method, url, params=query, json=body, headers=headers
             ) as response:
                 return _parse(url, response.status, await response.read())
-        except (aiohttp.ClientConnectorError, aiohttp.InvalidURL) as error:
-            return _refusal(ResultCode.PEER_UNREACHABLE, f"{url}: {error}")
+        except aiohttp.ClientConnectorError as error:
+            reason = error.os_error.strerror or str(error)
+            return _refusal(ResultCode.PEER_UNREACHABLE, f"{url}: {reason}")
+        except aiohttp.InvalidURL:
+            return _refusal(ResultCode.PEER_UNREACHABLE, f"{url}: not an address")
         except (aiohttp.ClientError, TimeoutError) as error:
             reason = str(error) or type(error).__name__
             return _refusal(ResultCode.PROPOSAL_TIMEOUT, f"{url}: {reason}")
--- a/src/sassafraswharf/console/application.py
+++ b/src/sassafraswharf/console/application.py
@@ -30,6 +30,8 @@
 from sassafraswharf.console.commands import voters
 from sassafraswharf.console.exit_codes import EXIT_CODE_HELP
 from sassafraswharf.console.exit_codes import ExitCode
+from sassafraswharf.console.input_file import HYPHEN
+from sassafraswharf.console.input_file import STANDARD_INPUT
 
 
 if TYPE_CHECKING:
@@ -42,6 +44,7 @@
 REQUESTS: Final = "Requests"
 CONTROL: Final = "Control hosts"
 
+READS_FILE: Final = frozenset({"apply", "check"})
 COMMANDS: Final[Sequence[tuple[str, Callable[..., object], str, str]]] = (
     ("apply", apply.apply, apply.EXAMPLES, CONFIGURATION),
     ("show", show.show, show.EXAMPLES, CONFIGURATION),
@@ -82,7 +85,9 @@
     """Run one command and return its exit code."""
     try:
         result = await build().run_async(
-            list(arguments), exit_on_error=False, result_action="return_value"
+            _with_standard_input(arguments),
+            exit_on_error=False,
+            result_action="return_value",
         )
     except CycloptsError:
         return ExitCode.USAGE
@@ -97,5 +102,16 @@
         sys.exit(130)
 
 
+def _with_standard_input(arguments: Sequence[str]) -> list[str]:
+    """Name standard input where a file is expected.
+
+    cyclopts takes a lone hyphen for an unknown option. Its setting that allows
+    leading hyphens would also take a mistyped option for the file.
+    """
+    if not arguments or arguments[0] not in READS_FILE:
+        return list(arguments)
+    return [STANDARD_INPUT if word == HYPHEN else word for word in arguments]
+
+
 def _indented(text: str) -> str:
     return "\n".join(f"  {line}" for line in text.splitlines())
--- a/src/sassafraswharf/console/commands/apply.py
+++ b/src/sassafraswharf/console/commands/apply.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import sys
 import uuid
 
-from pathlib import Path
 from typing import TYPE_CHECKING
 from typing import Annotated
 from typing import Final
@@ -24,6 +22,7 @@
 from sassafraswharf.console.connection import open_client
 from sassafraswharf.console.exit_codes import ExitCode
 from sassafraswharf.console.fleet_status import fetch_status
+from sassafraswharf.console.input_file import read_input
 from sassafraswharf.console.output import print_line
 from sassafraswharf.console.output import print_note
 from sassafraswharf.console.output import print_refusal
@@ -106,11 +105,10 @@
 
 
 def _read_document(file: str) -> Result[DeploymentDocument, Refusal]:
-    try:
-        text = sys.stdin.read() if file == "-" else Path(file).read_text("utf-8")
-    except (OSError, ValueError) as error:
-        return Err(Refusal(ResultCode.SETTINGS_UNREADABLE, f"{file}: {error}", {}))
-    parsed = parse_document(text)
+    text = read_input(file)
+    if isinstance(text, Err):
+        return Err(Refusal(*text.err_value, {}))
+    parsed = parse_document(text.ok_value)
     if isinstance(parsed, Err):
         reason = f"{file}: {parsed.err_value}"
         return Err(Refusal(ResultCode.CONFIGURATION_INVALID, reason, {}))
--- a/src/sassafraswharf/console/commands/check.py
+++ b/src/sassafraswharf/console/commands/check.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import sys
-
 from pathlib import Path
 from typing import Annotated
 from typing import Final
@@ -15,6 +13,8 @@
 from sassafraswharf.codes import ResultCode
 from sassafraswharf.configuration.validation import check_document
 from sassafraswharf.console.exit_codes import ExitCode
+from sassafraswharf.console.input_file import STANDARD_INPUT
+from sassafraswharf.console.input_file import read_input
 from sassafraswharf.console.output import print_line
 from sassafraswharf.console.output import print_refusal
 from sassafraswharf.console.refusal import Refusal
@@ -55,11 +55,10 @@
 
 def _check(file: str, *, with_keys: bool) -> Result[str, Failure]:
     path = Path(file)
-    try:
-        text = sys.stdin.read() if file == "-" else path.read_text("utf-8")
-    except (OSError, ValueError) as error:
-        return Err(Failure(ResultCode.SETTINGS_UNREADABLE, f"{file}: {error}"))
-    document = parse_document(text)
+    text = read_input(file)
+    if isinstance(text, Err):
+        return text
+    document = parse_document(text.ok_value)
     if isinstance(document, Err):
         return Err(
             Failure(ResultCode.SETTINGS_UNREADABLE, f"{file}: {document.err_value}")
@@ -67,9 +66,9 @@
     value = document.ok_value
     if isinstance(value, dict) and value.keys() & _CONFIGURATION_FIELDS:
         return check_document(value).map(_configuration_result)
-    if with_keys and file != "-":
+    if with_keys and file != STANDARD_INPUT:
         return load_settings(path).map(_settings_result)
-    return parse_settings(text, path).map(_settings_result)
+    return parse_settings(text.ok_value, path).map(_settings_result)
 
 
 def _configuration_result(_: object) -> str:
--- a/tests/console/test_application.py
+++ b/tests/console/test_application.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import asyncio
+import io
 import json
 
 from typing import TYPE_CHECKING
@@ -233,6 +234,23 @@
     assert asyncio.run(run(arguments)) == exit_code
 
 
+@pytest.mark.parametrize(
+    "arguments",
+    [["check", "-"], ["apply", "-", "--base", "7"], ["apply", "--base", "7", "-"]],
+)
+def test_standard_input_is_read(
+    key: str, monkeypatch: pytest.MonkeyPatch, arguments: list[str]
+) -> None:
+    """Guards against a lone hyphen that is taken for an unknown option."""
+    monkeypatch.setattr("sys.stdin", io.StringIO(document().decode()))
+    if arguments[0] == "check":
+        assert asyncio.run(run(arguments)) == 0
+        return
+    given = [*arguments, "--operator-key", key]
+    code, stub = play({f"POST {CONFIGURATION}": OK}, *given)
+    assert (code, stub.requests[0][1]["base_revision"]) == (0, 7)
+
+
 def test_check_accepts_a_configuration(tmp_path: Path) -> None:
     """Guards against a check that can't tell the two kinds of file apart."""
     file = tmp_path / "file"
