Contain a crashing request to two upstream crashes

Cause: after a crash the waiting requests started at once and were counted as running beside the request that had run alone, so it was not convicted; and the router sent the request a third time before the conviction was known. Ruled out: the order of the cell's commands (the suspicion was committed before the slots moved, the audit trail shows it). Before: one GET resent by one caller took down three of three upstreams; eight of ten requests beside it failed. Conclusion: nothing is sent to an upstream while it is not known whether it has died, and a request that ran alone and lost its connection is not retried.

--- a/src/sassafraswharf/requests/retry_budget.py
+++ b/src/sassafraswharf/requests/retry_budget.py
@@ -12,11 +12,13 @@
     """Tokens that requests earn and retries spend.
 
     Each request earns a tenth of a retry. A floor of one retry per second keeps
-    retries possible in a router with little traffic.
+    retries possible in a router with little traffic; it fills up to
+    ``floor_tokens``, which should cover the requests in flight on one upstream.
     """
 
-    def __init__(self, now: float) -> None:
-        self.tokens = 1.0
+    def __init__(self, now: float, floor_tokens: float = 1.0) -> None:
+        self.floor_tokens = floor_tokens
+        self.tokens = floor_tokens
         self.updated_at = now
 
     def on_request(self, now: float) -> None:
@@ -46,6 +48,7 @@
     def _refill(self, now: float) -> None:
         elapsed_s = max(0.0, now - self.updated_at)
         self.updated_at = max(now, self.updated_at)
-        # The floor refills up to a single token: it must not add up while idle.
-        if self.tokens < 1:
-            self.tokens = min(1.0, self.tokens + elapsed_s * FLOOR_PER_S)
+        # The floor must not add up without bound while idle.
+        if self.tokens < self.floor_tokens:
+            refilled = self.tokens + elapsed_s * FLOOR_PER_S
+            self.tokens = min(self.floor_tokens, refilled)
--- a/src/sassafraswharf/router/crash_watch.py
+++ b/src/sassafraswharf/router/crash_watch.py
@@ -15,6 +15,7 @@
 from sassafraswharf.cell.commands import UpstreamLost
 from sassafraswharf.quarantine.local_watch import LocalWatch
 from sassafraswharf.quarantine.local_watch import Treatment
+from sassafraswharf.router.change_signal import ChangeSignal
 
 
 if TYPE_CHECKING:
@@ -51,6 +52,7 @@
         self.clock = clock
         self.commit = commit
         self.watch = LocalWatch()
+        self.judged = ChangeSignal()
         self.probes: dict[UpstreamId, asyncio.Task[None]] = {}
         self.deaths: dict[tuple[UpstreamId, int], asyncio.Task[None]] = {}
         self.others: set[asyncio.Task[None]] = set()
@@ -98,6 +100,12 @@
         self.watch.finished(name, request_id, crashed=True)
         await asyncio.wait([self.probe(runner)], timeout=REPORT_WAIT_S)
 
+    async def examined(self, runner: UpstreamRunner) -> None:
+        """Wait while it is not known whether the upstream has died."""
+        while runner.doubtful:
+            self.probe(runner)
+            await self.judged.wait(REPORT_WAIT_S)
+
     def probe(self, runner: UpstreamRunner) -> asyncio.Task[None]:
         """Probe an upstream in the background, one probe at a time."""
         name = runner.upstream.upstream
@@ -109,9 +117,12 @@
     async def examine(self, runner: UpstreamRunner) -> None:
         """Report the upstream if its process has ended."""
         upstream = runner.upstream
-        if not await runner.is_reachable():
+        reachable = await runner.is_reachable()
+        runner.lost = runner.lost or not reachable
+        runner.doubtful = False
+        self.judged.notify()
+        if not reachable:
             logging.warning("upstream %s refuses connections", upstream.upstream)
-            runner.lost = True
             runner.withdraw()
             await self.report_death(upstream, runner)
             return
--- a/src/sassafraswharf/router/request_path.py
+++ b/src/sassafraswharf/router/request_path.py
@@ -10,6 +10,8 @@
 
 from sassafraswharf.codes import ResultCode
 from sassafraswharf.failure import Failure
+from sassafraswharf.identifiers import UpstreamId
+from sassafraswharf.membership.values import UpstreamState
 from sassafraswharf.requests.outcome import OUTCOMES
 from sassafraswharf.requests.outcome import Exchange
 from sassafraswharf.requests.outcome import OutcomeKind
@@ -27,7 +29,6 @@
 
     from sassafraswharf.clock import Clock
     from sassafraswharf.identifiers import ServiceName
-    from sassafraswharf.identifiers import UpstreamId
     from sassafraswharf.membership.values import Session
     from sassafraswharf.ownership.values import Ownership
     from sassafraswharf.requests.outcome import Outcome
@@ -44,10 +45,13 @@
 """How long a request waits for a slot that has no owner at the moment."""
 RETRY_PAUSE_S: Final = 0.02
 EXPECTED_ATTEMPT_S: Final = 0.005
+RETRY_FLOOR: Final = 20.0
+"""Retries for the requests that one crash can cut off, in slots of an upstream."""
 REDIRECTED: Final = frozenset(
     {ResultCode.NOT_OWNER, ResultCode.LEASE_EXPIRED, ResultCode.SHUTTING_DOWN}
 )
 """Refusals that another owner, or the same one a little later, may not give."""
+ENDED: Final = frozenset({UpstreamState.LOST, UpstreamState.GONE})
 
 
 class Attempt(NamedTuple):
@@ -93,7 +97,7 @@
         while True:
             attempt = await self.attempt(request)
             if not await self.tries_again(request, attempt, budget, hold_until):
-                return attempt
+                return final(attempt)
             if attempt.outcome.kind is OutcomeKind.MAY_HAVE_RUN:
                 request = request._replace(solo=True)
 
@@ -116,7 +120,10 @@
             return no_owner("the service has no slots yet")
         ownership = table.owner_of(request.routing_key)
         session = self.view.sessions.get(ownership.session)
-        if ownership.upstream is None or session is None:
+        known = self.view.upstreams.get(ownership.upstream or UpstreamId(""))
+        if ownership.upstream is None or session is None or known is None:
+            return no_owner(f"slot {ownership.slot} has no owner at the moment")
+        if known.state in ENDED:
             return no_owner(f"slot {ownership.slot} has no owner at the moment")
         if ownership.closing:
             return no_owner(f"slot {ownership.slot} is being moved")
@@ -191,7 +198,7 @@
             # Nothing has reached an upstream, so this does not spend the budget.
             await self.view.changed.wait(min(hold_until - now, self.pause_s(attempt)))
             return self.clock.now() < hold_until
-        if not outcome.upstream_failed:
+        if not outcome.upstream_failed or is_second_crash(request, outcome):
             return False
         if not may_retry(outcome, request.classification.repeatable):
             return False
@@ -212,10 +219,28 @@
         """Return the retry budget of a service."""
         budget = self.budgets.get(service)
         if budget is None:
-            budget = self.budgets[service] = RetryBudget(now)
+            budget = self.budgets[service] = RetryBudget(now, RETRY_FLOOR)
         return budget
 
 
+def is_second_crash(request: Incoming, outcome: Outcome) -> bool:
+    """Return whether a request that ran alone may have crashed its upstream."""
+    return request.solo and outcome.kind is OutcomeKind.MAY_HAVE_RUN
+
+
+def final(attempt: Attempt) -> Attempt:
+    """Return the attempt as the caller is told of it.
+
+    That a router was asked which is not the owner's is no matter of the caller.
+    """
+    if attempt.answer.code not in REDIRECTED:
+        return attempt
+    message = f"no owner was found in time: {attempt.answer.code.name.lower()}"
+    return Attempt(
+        refusal(Failure(ResultCode.HANDOVER_TIMEOUT, message)), attempt.outcome
+    )
+
+
 def is_unassigned(attempt: Attempt) -> bool:
     """Return whether the attempt ended because nobody may serve the slot."""
     return attempt.answer.code == ResultCode.HANDOVER_TIMEOUT
--- a/src/sassafraswharf/router/upstream_runner.py
+++ b/src/sassafraswharf/router/upstream_runner.py
@@ -102,6 +102,7 @@
         self.served: Counter[int] = Counter()
         self.completed_at = clock.now()
         self.lost = False
+        self.doubtful = False
         self.idle = asyncio.Event()
         self.idle.set()
         self.expiry: asyncio.TimerHandle | None = None
@@ -160,6 +161,7 @@
             refused = None if before_dispatch is None else await before_dispatch()
             if refused is not None:
                 return RunResult(refused, OutcomeKind.NOT_RUN), exchange
+            await self.crashes.examined(self)
             exchange = Exchange.CANCELLED
             name = self.upstream.upstream
             self.crashes.started(name, request_id, request.digest(), alone=solo)
@@ -170,7 +172,10 @@
             exchange = http.exchange
             return self.result(http, OUTCOMES[exchange]), exchange
         finally:
-            if exchange not in MAYBE_CRASHED:
+            if exchange in MAYBE_CRASHED:
+                # What starts now must not be blamed for this crash.
+                self.doubtful = True
+            else:
                 self.crashes.finished(self.upstream.upstream, request_id)
             self.finish(request_id, OUTCOMES[exchange], started_at)
 
--- a/src/sassafraswharf_bench/decision_cost.py
+++ b/src/sassafraswharf_bench/decision_cost.py
@@ -30,7 +30,7 @@
     from collections.abc import Callable
     from collections.abc import Iterator
 
-    from sassafraswharf.requests.classification import ServiceDocument
+    from sassafraswharf.configuration.documents import ServiceDocument
 
 
 REPETITIONS = 20_000
@@ -91,14 +91,14 @@
             "prefix": f"/service-{number}",
             "key": {"from": "path", "segment": 1},
             "slot_count": slots,
-            "operations": {
-                "GET /items/{item}": "repeatable",
-                "POST /items/{item}": "at_most_once",
-            },
+            "operations": [
+                {"method": "GET", "path": "/items/*", "run": "repeatable"},
+                {"method": "POST", "path": "/items/*", "run": "at_most_once"},
+            ],
             "deadline_s": 1.0,
             "max_body_bytes": 1000,
             "admit": "any",
-            "calls": (),
+            "calls": [],
         }
         for number in range(services)
     ]
