Tell the choice of upstreams which ones are available

Cause: no upstream was ever added to the choice, so all had an infinite cost and the first of a service got every request without a key. The digest of a request is computed once instead of twice.

--- a/src/sassafraswharf/router/incoming.py
+++ b/src/sassafraswharf/router/incoming.py
@@ -9,7 +9,6 @@
 from typing import Final
 from typing import NamedTuple
 
-from sassafraswharf.quarantine.local_watch import request_digest
 from sassafraswharf.requests.urgency import RequestFacts
 
 
@@ -29,7 +28,8 @@
 
     ``target`` is the raw path with the query. ``hop`` tells that another
     router has forwarded the request, which is then never forwarded again. ``solo``
-    tells that an earlier attempt may have crashed its upstream.
+    tells that an earlier attempt may have crashed its upstream. ``digest`` is what the
+    request and its resends have in common.
     """
 
     request_id: int
@@ -44,6 +44,7 @@
     deadline_at: float
     hop: bool
     solo: bool
+    digest: bytes
 
     @property
     def facts(self) -> RequestFacts:
@@ -74,11 +75,6 @@
         """Whether the journal makes sure that the request runs at most once."""
         return not self.classification.repeatable and self.idempotency_key is not None
 
-    def digest(self) -> bytes:
-        """Return what a request and its resends have in common."""
-        path, _, query = self.target.partition("?")
-        return request_digest(self.method, path, query, self.body)
-
 
 class RequestIds:
     """Creates the request ids that upstreams see, and reads them back.
--- a/src/sassafraswharf/router/journal_task.py
+++ b/src/sassafraswharf/router/journal_task.py
@@ -216,7 +216,7 @@
             ownership.slot,
             request.idempotency_key or "",
         )
-        digest = request.digest()
+        digest = request.digest
         decision = await self.decide(key, digest, request.deadline_at)
         if decision.decision is not Decision.RUN:
             return from_decision(decision)
--- a/src/sassafraswharf/router/local_service.py
+++ b/src/sassafraswharf/router/local_service.py
@@ -80,9 +80,9 @@
         failure = self.reason_to_refuse(runner, ownership)
         if failure is not None or runner is None:
             return refused(failure or not_owner(upstream))
-        treatment = self.crashes.treatment(request.digest())
+        treatment = self.crashes.treatment(request.digest)
         if treatment is Treatment.REFUSED:
-            return refused(quarantined(request.digest()))
+            return refused(quarantined(request.digest))
         solo = request.solo or treatment is Treatment.ALONE
         if not request.is_journaled or ownership is None:
             permit = self.permit(upstream, ownership)
--- a/src/sassafraswharf/router/request_path.py
+++ b/src/sassafraswharf/router/request_path.py
@@ -87,6 +87,8 @@
         self.clock = clock
         self.rng = rng
         self.budgets: dict[ServiceName, RetryBudget] = {}
+        self.incarnations: dict[UpstreamId, int] = {}
+        self.chosen_version = 0
 
     async def serve(self, request: Incoming) -> Attempt:
         """Return the whole answer or a refusal, with the address of the owner."""
@@ -134,6 +136,7 @@
     async def attempt_any(self, request: Incoming) -> Attempt:
         """Choose among the available upstreams of a service without a key."""
         service = request.classification.service
+        self.follow_upstreams()
         candidates = self.view.available.get(service, ())
         upstream = self.choice.choose(candidates, self.clock.now(), self.rng)
         if upstream is None:
@@ -158,6 +161,24 @@
         )
         return attempt
 
+    def follow_upstreams(self) -> None:
+        """Let the choice know the upstreams that are available now.
+
+        A restarted upstream starts its ramp anew: it is cold.
+        """
+        if self.chosen_version == self.view.version:
+            return
+        self.chosen_version = self.view.version
+        available = {name for names in self.view.available.values() for name in names}
+        for name in set(self.incarnations) - available:
+            del self.incarnations[name]
+            self.choice.remove(name)
+        for name in available:
+            upstream = self.view.upstreams[name]
+            if self.incarnations.get(name) != upstream.incarnation:
+                self.incarnations[name] = upstream.incarnation
+                self.choice.add(name, upstream.speed, self.clock.now())
+
     async def attempt_here(
         self, request: Incoming, upstream: UpstreamId, ownership: Ownership | None
     ) -> Attempt:
--- a/src/sassafraswharf/router/request_reader.py
+++ b/src/sassafraswharf/router/request_reader.py
@@ -13,6 +13,7 @@
 
 from sassafraswharf.codes import ResultCode
 from sassafraswharf.failure import Failure
+from sassafraswharf.quarantine.local_watch import request_digest
 from sassafraswharf.requests.deadline import deadline_of
 from sassafraswharf.router import headers
 from sassafraswharf.router.incoming import MAX_IDEMPOTENCY_KEY_CHARACTERS
@@ -90,6 +91,7 @@
                 deadline.ok_value,
                 hop,
                 hop and headers.SOLO in request.headers,
+                request_digest(request.method, raw_path, query, body.ok_value),
             )
         )
 
--- a/src/sassafraswharf/router/upstream_runner.py
+++ b/src/sassafraswharf/router/upstream_runner.py
@@ -164,7 +164,7 @@
             await self.crashes.examined(self)
             exchange = Exchange.CANCELLED
             name = self.upstream.upstream
-            self.crashes.started(name, request_id, request.digest(), alone=solo)
+            self.crashes.started(name, request_id, request.digest, alone=solo)
             http = await self.dispatch(request, permit)
             if isinstance(http, Answer):
                 exchange = Exchange.NOTHING_SENT
