--- a/src/sassafraswharf/consensus/log.py
+++ b/src/sassafraswharf/consensus/log.py
@@ -72,8 +72,9 @@
 
     def between(self, first: int, last: int) -> tuple[Entry, ...]:
         """Return the entries from ``first`` to ``last``, both included."""
-        start = max(first - self.base_index - 1, 0)
-        return tuple(self.entries[start : last - self.base_index])
+        if first <= self.base_index:
+            raise IndexError(f"entry {first} is not after {self.base_index}")
+        return tuple(self.entries[first - self.base_index - 1 : last - self.base_index])
 
     def batch(self, first: int, count: int, size: int) -> tuple[Entry, ...]:
         """Return entries from ``first`` on, limited by count and bytes of data."""
--- a/src/sassafraswharf/consensus/replication.py
+++ b/src/sassafraswharf/consensus/replication.py
@@ -105,11 +105,13 @@
     def replicate(self, target: ReplicaId, now: float, *, heartbeat: bool) -> None:
         """Send batches to one member, at least an empty one for a heartbeat."""
         progress = self.progress[target]
+        if heartbeat:
+            # This can move the next index before the start of the log, so it
+            # precedes the choice between entries and snapshot.
+            progress.probe_again()
         if progress.snapshot_index or progress.next_index <= self.log.base_index:
             self.send_chunk(target, now)
             return
-        if heartbeat:
-            progress.probe_again()
         while progress.has_room and progress.next_index <= self.log.last_index:
             entries = self.log.batch(progress.next_index, BATCH_ENTRIES, BATCH_BYTES)
             self.send_append(target, progress, entries, now)
@@ -207,6 +209,12 @@
 
     def on_append(self, sender: ReplicaId, message: AppendRequest, now: float) -> None:
         """Append what the leader sent, or refuse with a hint."""
+        expected = range(
+            message.prev_index + 1, message.prev_index + 1 + len(message.entries)
+        )
+        if [entry.log_index for entry in message.entries] != list(expected):
+            # A gap would shift all later entries to wrong positions.
+            return
         if not self.follow(sender, message.term, now):
             self.send(sender, AppendReply(self.term, False, 0, 0, message.sent_at))
             return
--- a/tests/consensus/simulation.py
+++ b/tests/consensus/simulation.py
@@ -137,7 +137,6 @@
         )
 
     def crash(self, name: str) -> None:
-        """Lose the process and a part of the unsynced writes."""
         host = self.hosts[name]
         if host.replica:
             host.disk.sync(self.rng.randint(0, len(host.disk.pending)))
@@ -217,23 +216,13 @@
             if self.rng.random() < faults.duplicate:
                 self.network.append(message)
             reachable = frozenset((origin, host.name)) not in self.cut
-            if reachable and host.replica and self.rng.random() >= faults.drop:
-                self.receive(host, host.replica, action, source)
-
-    def receive(
-        self,
-        host: Host,
-        replica: Replica,
-        action: actions.SendMessage,
-        source: ReplicaId,
-    ) -> None:
-        """Hand over a message unless it is for another identity of the host."""
-        if action.target in {replica.identity, host.name}:
-            now = self.clock(host)
-            self.execute(host, replica.receive(source, action.body, now))
+            if not reachable or not host.replica or self.rng.random() < faults.drop:
+                continue
+            if action.target in {host.replica.identity, host.name}:
+                now = self.clock(host)
+                self.execute(host, host.replica.receive(source, action.body, now))
 
     def sync(self, name: str) -> None:
-        """Sync a disk, then send what waited and report it."""
         host = self.hosts[name]
         if not host.replica or not host.disk.pending:
             return
@@ -307,7 +296,6 @@
     # Invariants.
 
     def apply(self, host: Host, entry: Entry) -> None:
-        """Check that committed entries never change."""
         known = self.committed.setdefault(entry.log_index, entry)
         if known != entry:
             raise ViolationError(f"{host.name} applies {entry} instead of {known}")
@@ -316,7 +304,6 @@
         self.check_commands(host, entry.log_index)
 
     def check_commands(self, host: Host, index: int) -> None:
-        """Check that state machines agree at the same index."""
         expected = [
             entry.data
             for at, entry in sorted(self.committed.items())
@@ -339,7 +326,6 @@
                 raise ViolationError(f"leader {identity} lacks committed entry {index}")
 
     def current(self) -> list[str]:
-        """Return the hosts that consider themselves current leaders."""
         return [
             host.name
             for host in self.hosts.values()
@@ -347,7 +333,6 @@
         ]
 
     def check_current(self) -> None:
-        """Check that only the newest leader is current."""
         current = self.current()
         if len(current) > 1:
             raise ViolationError(f"{current} are current leaders at the same time")
--- a/tests/consensus/test_mechanisms.py
+++ b/tests/consensus/test_mechanisms.py
@@ -19,15 +19,9 @@
 from sassafraswharf.consensus.actions import Role
 from sassafraswharf.consensus.core import ReplicaTiming
 from sassafraswharf.consensus.messages import FoundingPromise
+from sassafraswharf.consensus.messages import SnapshotChunk
 from sassafraswharf.consensus.replica import Replica
-from tests.consensus.simulation import DURATIONS_S
-from tests.consensus.simulation import FAULT_METHODS
-from tests.consensus.simulation import FAULTS
-from tests.consensus.simulation import NO_FAULTS
-from tests.consensus.simulation import STEP_S
-from tests.consensus.simulation import Cluster
-from tests.consensus.simulation import Faults
-from tests.consensus.simulation import ViolationError
+from tests.consensus import simulation as sim
 
 
 if TYPE_CHECKING:
@@ -42,20 +36,18 @@
 
 
 def walk(seed: int, **options: bool) -> None:
-    """Apply random faults, then check the recovery."""
     rng = random.Random(seed)
-    cluster = Cluster(3, seed, **options)
+    cluster = sim.Cluster(3, seed, **options)
     cluster.run(1.5)
     for step in range(WALK_STEPS):
         name = rng.choice(cluster.names)
         cluster.propose_everywhere(step)
-        rng.choice((*FAULT_METHODS, Cluster.recover))(cluster, name)
-        cluster.run(rng.choice(DURATIONS_S), rng.choice(FAULTS))
+        rng.choice((*sim.FAULT_METHODS, sim.Cluster.recover))(cluster, name)
+        cluster.run(rng.choice(sim.DURATIONS_S), rng.choice(sim.FAULTS))
     cluster.check_recovery()
 
 
 def trust_during_transfer(replica: Replica, now: float) -> bool:
-    """Answer as if no transfer had begun."""
     target, replica.transfer_to = replica.transfer_to, None
     try:
         return ORIGINAL_IS_CURRENT(replica, now)
@@ -64,13 +56,11 @@
 
 
 def never(*_: object, **__: object) -> bool:
-    """Stand in for a check that refuses nothing."""
     return False
 
 
-def always(method: str) -> tuple[Any, str, Any]:
-    """Return the patch of a check that accepts everything."""
-    return (Replica, method, lambda *_: True)
+def always(*_: object) -> bool:
+    return True
 
 
 ORIGINAL_IS_CURRENT = Replica.is_current_leader
@@ -79,21 +69,19 @@
 def promise_always(
     replica: Replica, sender: ReplicaId, message: FoundingQuery, now: float
 ) -> None:
-    """Promise although the replica belongs to a group."""
     del message, now
     replica.send(sender, FoundingPromise(sender))
 
 
-def founded(**options: bool) -> tuple[Cluster, str, list[str]]:
+def founded(**options: bool) -> tuple[sim.Cluster, str, list[str]]:
     """Return a cluster with a leader, its name and the names of the others."""
-    cluster = Cluster(3, 7, founded=True, **options)
+    cluster = sim.Cluster(3, 7, founded=True, **options)
     cluster.run(1.5)
     leader = cluster.current()[0]
     return cluster, leader, [name for name in cluster.names if name != leader]
 
 
-def start_term(cluster: Cluster, name: str) -> None:
-    """Make a host a candidate at once."""
+def start_term(cluster: sim.Cluster, name: str) -> None:
     host = cluster.hosts[name]
     assert host.replica
     host.replica.start_term(cluster.clock(host), transfer=False)
@@ -101,10 +89,10 @@
     cluster.sync(name)
 
 
-def deliver_all(cluster: Cluster, *synced: str) -> None:
+def deliver_all(cluster: sim.Cluster, *synced: str) -> None:
     """Deliver messages without letting time pass for the replicas."""
     for _ in range(20):
-        cluster.deliver(NO_FAULTS)
+        cluster.deliver(sim.NO_FAULTS)
         for name in synced:
             cluster.sync(name)
 
@@ -114,7 +102,7 @@
     cluster, leader, others = founded(**options)
     cluster.propose(leader, b"x")
     for _step in range(30):
-        cluster.run(STEP_S, Faults(sync=0.0))
+        cluster.run(sim.STEP_S, sim.Faults(sync=0.0))
         cluster.sync(leader)
     cluster.isolate(leader)
     for name in others:
@@ -126,7 +114,7 @@
 
 def vote_twice(_: int, **options: bool) -> None:
     """Crash a voter after its vote and ask it again in the same term."""
-    cluster = Cluster(3, 7, founded=True, **options)
+    cluster = sim.Cluster(3, 7, founded=True, **options)
     for candidate, other in (("b", "c"), ("c", "b")):
         cluster.now += 1.0
         cluster.cut = {frozenset((other, name)) for name in "ab" + candidate}
@@ -151,7 +139,7 @@
     cluster.now += 1.0
     start_term(cluster, rival)
     while cluster.leaders[max(cluster.leaders)] != f"{rival}:0":
-        cluster.deliver(NO_FAULTS)
+        cluster.deliver(sim.NO_FAULTS)
         cluster.sync(voter)
     cluster.network.clear()
     cluster.sync(rival)
@@ -168,7 +156,7 @@
         mock.patch.object(progress, "WINDOW_BATCHES", 1),
     ):
         while cluster.network and max(cluster.committed) == last:
-            cluster.deliver(NO_FAULTS)
+            cluster.deliver(sim.NO_FAULTS)
             cluster.sync(old)
             cluster.sync(voter)
     cluster.crash(old)
@@ -186,7 +174,7 @@
     cluster.recover()
     cluster.run(1.0)
     if cluster.current() != [leader] or max(cluster.leaders) != term:
-        raise ViolationError("a healthy leader was deposed")
+        raise sim.ViolationError("a healthy leader was deposed")
 
 
 def isolate_leader(_: int, **options: bool) -> None:
@@ -196,13 +184,13 @@
     cluster.isolate(leader)
     cluster.run(ReplicaTiming().election_min_s)
     if leader in cluster.current():
-        raise ViolationError("an isolated leader is current")
-    cluster.run(STEP_S * 2)
+        raise sim.ViolationError("an isolated leader is current")
+    cluster.run(sim.STEP_S * 2)
     if host.replica and host.replica.role is Role.LEADER:
-        raise ViolationError("an isolated leader did not step down")
+        raise sim.ViolationError("an isolated leader did not step down")
 
 
-def campaign_beside_leader(_: int, **options: bool) -> None:
+def campaign_beside(_: int, **options: bool) -> None:
     """Start a term on a host that doesn't hear the leader; the third one does."""
     cluster, leader, (candidate, voter) = founded(**options)
     cluster.cut = {frozenset((leader, candidate))}
@@ -215,7 +203,7 @@
     """Cut the leader from its successor when the transfer has arrived there."""
     cluster, leader, others = founded(**options)
     cluster.transfer(leader)
-    cluster.deliver(NO_FAULTS)
+    cluster.deliver(sim.NO_FAULTS)
     cluster.cut = {frozenset((leader, name)) for name in others}
     deliver_all(cluster, *others)
     if len(cluster.leaders) != 2:
@@ -224,10 +212,13 @@
 
 
 class Mechanism(NamedTuple):
+    """How to switch one mechanism off, and a scenario and seed that need it."""
+
     name: str
     scenario: Callable[..., None]
-    seed: int
-    patches: tuple[tuple[Any, str, Any], ...] = ()
+    seed: int = 0
+    methods: dict[str, Any] = {}  # noqa: RUF012
+    margin: float = replication.CLOCK_RATE_MARGIN
     options: tuple[str, ...] = ()
 
 
@@ -235,48 +226,21 @@
     Mechanism(
         "sync before acknowledge",
         lose_unsynced_acknowledgement,
-        0,
-        ((Replica, "durable_index", lambda replica: replica.verified_index),),
-    ),
-    Mechanism("vote synced before reply", vote_twice, 0, (), ("sends_early",)),
-    Mechanism("own-term commit", commit_older_term, 0, (always("may_commit"),)),
-    Mechanism(
-        "pre-vote", return_after_isolation, 0, ((Replica, "uses_pre_vote", never),)
-    ),
-    Mechanism(
-        "check-quorum",
-        isolate_leader,
-        0,
-        (
-            (Replica, "check_quorum", never),
-            (replication, "CLOCK_RATE_MARGIN", 40.0),
-        ),
-    ),
-    Mechanism("identity lost with the disk", walk, 0, (), ("keeps_identity",)),
-    Mechanism(
-        "promise only from an empty replica",
-        walk,
-        1,
-        ((Replica, "on_founding_query", promise_always),),
-    ),
-    Mechanism("log comparison in votes", walk, 8, (always("is_up_to_date"),)),
-    Mechanism(
-        "no votes while a leader is heard",
-        campaign_beside_leader,
-        0,
-        ((Replica, "refuses_votes", never),),
-    ),
-    Mechanism(
-        "limit of trust in a quorum",
-        walk,
-        4,
-        ((replication, "CLOCK_RATE_MARGIN", 4.0),),
+        methods={"durable_index": lambda replica: replica.verified_index},
     ),
+    Mechanism("vote synced before reply", vote_twice, options=("sends_early",)),
+    Mechanism("own-term commit", commit_older_term, methods={"may_commit": always}),
+    Mechanism("pre-vote", return_after_isolation, methods={"uses_pre_vote": never}),
+    Mechanism("check-quorum", isolate_leader, 0, {"check_quorum": never}, 40.0),
+    Mechanism("identity lost with the disk", walk, options=("keeps_identity",)),
+    Mechanism("promise if empty", walk, 1, {"on_founding_query": promise_always}),
+    Mechanism("log comparison in votes", walk, 8, {"is_up_to_date": always}),
+    Mechanism("no votes beside a leader", campaign_beside, 0, {"refuses_votes": never}),
+    Mechanism("limit of trust in a quorum", walk, 4, margin=4.0),
     Mechanism(
         "not current during transfer",
         cut_after_transfer,
-        0,
-        ((Replica, "is_current_leader", trust_during_transfer),),
+        methods={"is_current_leader": trust_during_transfer},
     ),
 ]
 
@@ -288,8 +252,10 @@
         if enabled:
             mechanism.scenario(seed)
             return
-        for patch in mechanism.patches:
-            stack.enter_context(mock.patch.object(*patch))
+        margin = mechanism.margin
+        stack.enter_context(mock.patch.object(replication, "CLOCK_RATE_MARGIN", margin))
+        for method, stand_in in mechanism.methods.items():
+            stack.enter_context(mock.patch.object(Replica, method, stand_in))
         mechanism.scenario(seed, **dict.fromkeys(mechanism.options, True))
 
 
@@ -304,7 +270,7 @@
     for seed in range(mechanism.seed, mechanism.seed + SEEDS):
         try:
             run_scenario(mechanism, seed, enabled=False)
-        except ViolationError as violation:
+        except sim.ViolationError as violation:
             print(f"{mechanism.name}: seed {seed}: {violation}")
             return
     pytest.fail(f"no invariant noticed the missing mechanism in {SEEDS} seeds")
@@ -315,7 +281,7 @@
 )
 def test_second_loss_after_repair(first: str, second: str) -> None:
     """Guards against a repair that counts before the copy is complete."""
-    cluster = Cluster(3, 11)
+    cluster = sim.Cluster(3, 11)
     cluster.run(1.5)
     for round_number, name in enumerate((first, second)):
         for number in range(30):
@@ -328,6 +294,24 @@
         while identity in cluster.committed_voters().voters or (
             len(cluster.committed_voters().voters) < 3
         ):
-            cluster.run(STEP_S)
+            cluster.run(sim.STEP_S)
     cluster.check_recovery()
     assert len(cluster.hosts[first].commands) == 61
+
+
+def test_probe_below_the_start_of_the_log() -> None:
+    """Guards against a repeated probe that skips entries which a snapshot covers."""
+    cluster, leader, others = founded()
+    replica = cluster.hosts[leader].replica
+    target = sim.ReplicaId(f"{others[0]}:0")
+    assert replica
+    with mock.patch.object(log, "RETAINED_ENTRIES", 5):
+        for number in range(40):
+            cluster.propose(leader, b"%d" % number)
+            cluster.run(sim.STEP_S)
+    assert replica.log.base_index > 0
+    replica.progress[target].probe_index = 0
+    replica.replicate(target, cluster.clock(cluster.hosts[leader]), heartbeat=True)
+    sent = replica.take()[0]
+    assert isinstance(sent, sim.actions.SendMessage)
+    assert isinstance(sent.body, SnapshotChunk)
--- a/tests/consensus/test_replica.py
+++ b/tests/consensus/test_replica.py
@@ -13,11 +13,7 @@
 
 from sassafraswharf.consensus import log
 from sassafraswharf.consensus import snapshots
-from tests.consensus.simulation import DURATIONS_S
-from tests.consensus.simulation import FAULT_METHODS
-from tests.consensus.simulation import FAULTS
-from tests.consensus.simulation import Cluster
-from tests.consensus.simulation import Faults
+from tests.consensus import simulation as sim
 
 
 if TYPE_CHECKING:
@@ -45,13 +41,13 @@
         count=st.integers(3, 5), seed=st.integers(0, 2**16), settled=st.booleans()
     )
     def create(self, count: int, seed: int, settled: bool) -> None:
-        self.cluster = Cluster(count, seed)
+        self.cluster = sim.Cluster(count, seed)
         self.proposed = 0
         if settled:
             self.cluster.run(1.5)
 
-    @rule(seconds=st.sampled_from(DURATIONS_S), faults=st.sampled_from(FAULTS))
-    def run(self, seconds: float, faults: Faults) -> None:
+    @rule(seconds=st.sampled_from(sim.DURATIONS_S), faults=st.sampled_from(sim.FAULTS))
+    def run(self, seconds: float, faults: sim.Faults) -> None:
         self.cluster.run(seconds, faults)
 
     @rule(count=st.integers(1, 15))
@@ -60,8 +56,8 @@
             self.proposed += 1
             self.cluster.propose_everywhere(self.proposed)
 
-    @rule(method=st.sampled_from(FAULT_METHODS), host=HOSTS)
-    def inject(self, method: Callable[[Cluster, str], object], host: int) -> None:
+    @rule(method=st.sampled_from(sim.FAULT_METHODS), host=HOSTS)
+    def inject(self, method: Callable[[sim.Cluster, str], object], host: int) -> None:
         method(self.cluster, self.cluster.names[host % len(self.cluster.names)])
 
     @rule(first=HOSTS, second=HOSTS)
