Add a replacement as voter only while it answers; list the proofs

The simulation judged such a loss by the committed voters only, although a change counts when it is appended, so it allowed more than section 7 tolerates. Loss of data was ruled out, all invariants held. The leader now requires an answer within election_min_s before it adds a voter, which makes the moment shorter.

--- a/src/sassafraswharf/consensus/membership.py
+++ b/src/sassafraswharf/consensus/membership.py
@@ -175,7 +175,7 @@
             return self.refuse_change("the leader has not committed in its term")
         change = self.log.voters.resolve(change)
         adds_voter = change.kind is VoterChangeKind.ADD_VOTER
-        if adds_voter and not self.has_caught_up(change.replica):
+        if adds_voter and not self.has_caught_up(change.replica, now):
             return self.refuse_change(f"{change.replica} has not caught up")
         changed = self.log.voters.apply(change)
         if isinstance(changed, Err):
@@ -189,11 +189,14 @@
         """Return a refusal."""
         return Err(Failure(ResultCode.VOTER_CHANGE_REFUSED, reason))
 
-    def has_caught_up(self, replica: ReplicaId) -> bool:
-        """Return whether a learner has almost everything that is in the log."""
+    def has_caught_up(self, replica: ReplicaId, now: float) -> bool:
+        """Return whether a learner answers and has almost the whole log."""
         progress = self.progress.get(replica)
         if not progress or progress.match_index < self.term_start_index:
             return False
+        # A voter that has gone again would only raise the quorum.
+        if now - progress.contact_at > self.timing.election_min_s:
+            return False
         return self.log.last_index - progress.match_index <= CATCH_UP_ENTRIES
 
     def replace_lost(self, now: float) -> None:
@@ -205,7 +208,7 @@
         voters = self.log.voters
         trusted = now - self.timing.election_max_s
         for learner in voters.learners:
-            if not self.has_caught_up(learner):
+            if not self.has_caught_up(learner, now):
                 continue
             name = host_name(learner)
             lost = [one for one in voters.voters if host_name(one) == name]
--- a/tests/consensus/simulation.py
+++ b/tests/consensus/simulation.py
@@ -143,10 +143,10 @@
         """Lose process and disk if that loss is agreed to be tolerated."""
         host = self.hosts[name]
         identity = host.disk.state.identity
-        voters = self.committed_voters()
-        after = {*self.lost, identity} & set(voters.voters)
-        if identity in voters.voters and len(after) > (len(voters.voters) - 1) // 2:
-            return False
+        for voters in self.voters_in_force():
+            after = {*self.lost, identity} & set(voters)
+            if identity in voters and len(after) > (len(voters) - 1) // 2:
+                return False
         self.crash(name)
         self.lost.add(identity)
         self.losses[name] = self.losses.get(name, 0) + 1
@@ -157,9 +157,29 @@
         return True
 
     def committed_voters(self) -> Voters:
+        return self.newest_committed()[1]
+
+    def newest_committed(self) -> tuple[int, Voters]:
         changes = [e for e in self.committed.values() if e.kind is EntryKind.VOTERS]
         newest = max(changes, key=lambda one: one.log_index, default=None)
-        return decode_voters(newest.data) if newest else self.founding
+        found = (newest.log_index, decode_voters(newest.data)) if newest else None
+        return found or (0, self.founding)
+
+    def voters_in_force(self) -> list[tuple[ReplicaId, ...]]:
+        """Return the committed voters and those of changes under way.
+
+        A change counts as soon as it is appended, so a loss is a minority only if
+        it is one of both.
+        """
+        committed, voters = self.newest_committed()
+        under_way = [
+            changed.voters
+            for host in self.hosts.values()
+            if host.replica
+            for index, changed in host.replica.log.configurations
+            if index > committed
+        ]
+        return [voters.voters, *under_way]
 
     def isolate(self, name: str) -> None:
         self.cut |= {frozenset((name, other)) for other in self.names if other != name}
