--- a/tests/console/test_application.py
+++ b/tests/console/test_application.py
@@ -9,8 +9,10 @@
 
 import pytest
 
+from sassafraswharf.console.admin_client import AdminClient
 from sassafraswharf.console.application import COMMANDS
 from sassafraswharf.console.application import run
+from sassafraswharf.console.fleet_status import fetch_status
 from tests.configuration.harness import document
 from tests.console.stub_control import StubControl
 from tests.console.stub_control import running
@@ -191,6 +193,24 @@
     assert shown in printed.out + printed.err
 
 
+@pytest.mark.parametrize(("leads", "behind"), [(True, []), (False, ["cell c1"])])
+def test_only_the_leader_of_a_cell_speaks_for_it(
+    leads: bool, behind: list[str]
+) -> None:
+    """Guards against a deposed leader whose short list of hosts looks complete."""
+
+    async def scene() -> list[str]:
+        answers: Answers = {"GET /v1/status": []}
+        async with running(answers) as stub:
+            for leader in (stub.address, stub.address if leads else None):
+                cell = {"cell": "c1", "leader": leader}
+                answers["GET /v1/status"].append((200, {"cells": [cell], "hosts": []}))
+            async with AdminClient([stub.address]) as client:
+                return (await fetch_status(client)).unwrap().behind(8)
+
+    assert [name[:7] for name in asyncio.run(scene())] == behind
+
+
 @pytest.mark.parametrize(
     ("status", "answer", "exit_code", "shown"),
     [
