--- a/src/sassafraswharf/configuration/commands.py
+++ b/src/sassafraswharf/configuration/commands.py
@@ -82,12 +82,12 @@
 
 
 def check_change(value: ApplyChange) -> Result[ApplyChange, Failure]:
-    """Refuse a change whose fields are out of range with code 3001."""
+    """Refuse a change that replicas would drop as damaged, with code 3001."""
     try:
-        msgspec.convert(value, _CommandFields, strict=True, from_attributes=False)
+        decoded = decode_command(encode_command(value))
     except _DAMAGED as error:
         return Err(Failure(ResultCode.BAD_REQUEST, str(error)))
-    return Ok(value)
+    return decoded.map_err(_bad_request)
 
 
 def encode_command(command: ApplyChange) -> bytes:
@@ -119,3 +119,7 @@
 
 def _malformed(what: str, error: Exception) -> Err[Failure]:
     return Err(Failure(ResultCode.MESSAGE_MALFORMED, f"damaged {what}: {error}"))
+
+
+def _bad_request(failure: Failure) -> Failure:
+    return failure._replace(code=ResultCode.BAD_REQUEST)
--- a/src/sassafraswharf/console/fleet_status.py
+++ b/src/sassafraswharf/console/fleet_status.py
@@ -32,7 +32,13 @@
     unknown_cells: tuple[str, ...]
 
     def behind(self, revision: int) -> list[str]:
-        """Name the live hosts without the revision, and the unknown cells."""
+        """Name the live hosts without the revision, and the unknown cells.
+
+        A control host that knows of no live host proves nothing, so that is named
+        as well.
+        """
+        if not any(host.get("live") for host in self.hosts.values()):
+            return ["the whole deployment (no live host is reported)"]
         late = [
             f"host {name} (revision {host.get('revision')})"
             for name, host in sorted(self.hosts.items())
