--- a/src/sassafraswharf/requests/admission.py
+++ b/src/sassafraswharf/requests/admission.py
@@ -24,6 +24,14 @@
 QUEUE_PER_SLOT = {Urgency.NESTED: 4, Urgency.AT_MOST_ONCE: 4, Urgency.LOOKUP: 2}
 NESTED_IN_A_ROW = 8
 BOOKINGS_PER_LOOKUP = 3
+# Which class starts next, by whether nested calls have had their turns in a row
+# and whether bookings have had theirs.
+START_ORDER = {
+    (False, False): (Urgency.NESTED, Urgency.AT_MOST_ONCE, Urgency.LOOKUP),
+    (False, True): (Urgency.NESTED, Urgency.LOOKUP, Urgency.AT_MOST_ONCE),
+    (True, False): (Urgency.AT_MOST_ONCE, Urgency.LOOKUP, Urgency.NESTED),
+    (True, True): (Urgency.LOOKUP, Urgency.AT_MOST_ONCE, Urgency.NESTED),
+}
 QUEUE_DELAY_TARGET_S = 0.02
 QUEUE_DELAY_INTERVAL_S = 0.1
 MIN_RETRY_AFTER_S = 0.05
@@ -53,6 +61,7 @@
 
     request_id: int
     facts: RequestFacts
+    urgency: Urgency
     queued_at: float
     solo: bool
 
@@ -94,7 +103,7 @@
         self.waiting: dict[int, Ticket] = {}
         self.queues: dict[Urgency, Queue] = {urgency: [] for urgency in Urgency}
         self.solo_queue: Queue = []
-        self.counts = dict.fromkeys(Urgency, 0)
+        self.counts = [0] * len(Urgency)
         self.expired: list[int] = []
         self.solo_running = False
         self.nested_streak = 0
@@ -113,18 +122,18 @@
         """
         if facts.deadline_at <= now:
             return Decision(Verdict.EXPIRED)
-        ticket = Ticket(request_id, facts, now, solo)
+        ticket = Ticket(request_id, facts, facts.urgency, now, solo)
         if self._starts_at_once(ticket):
             self._start(ticket, now)
             return Decision(Verdict.RUN)
-        wait_s = self.expected_wait_s(facts.urgency)
+        wait_s = self.expected_wait_s(ticket.urgency)
         if not self._may_wait(ticket, wait_s, now):
             retry_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
             return Decision(Verdict.REFUSE, retry_s)
         self.waiting[request_id] = ticket
-        queue = self.solo_queue if solo else self.queues[facts.urgency]
+        queue = self.solo_queue if solo else self.queues[ticket.urgency]
         heappush(queue, (-facts.nested_depth, facts.deadline_at, request_id))
-        self.counts[facts.urgency] += 1
+        self.counts[ticket.urgency] += 1
         return Decision(Verdict.WAIT)
 
     def finished(
@@ -145,7 +154,7 @@
         """Drop a request that waits or is at work; return the ids to start."""
         ticket = self.waiting.pop(request_id, None)
         if ticket is not None:
-            self.counts[ticket.facts.urgency] -= 1
+            self.counts[ticket.urgency] -= 1
         else:
             self._release(request_id)
         return self._start_waiting(now)
@@ -164,7 +173,7 @@
         self.waiting.clear()
         for queue in (*self.queues.values(), self.solo_queue):
             queue.clear()
-        self.counts = dict.fromkeys(Urgency, 0)
+        self.counts = [0] * len(Urgency)
         return withdrawn
 
     @property
@@ -175,7 +184,7 @@
 
     def expected_wait_s(self, urgency: Urgency) -> float:
         """Return the expected wait behind the requests that start earlier."""
-        ahead = 1 + sum(self.counts[other] for other in Urgency if other <= urgency)
+        ahead = 1 + sum(self.counts[: urgency + 1])
         return ahead * self.service_s / max(1, self.limit.limit)
 
     def overloaded(self, now: float) -> bool:
@@ -196,7 +205,7 @@
 
     def _may_wait(self, ticket: Ticket, wait_s: float, now: float) -> bool:
         facts = ticket.facts
-        urgency = facts.urgency
+        urgency = ticket.urgency
         if self.nested_levels and facts.nested_depth > self.nested_levels:
             return False
         if facts.deadline_at - now < wait_s + self.service_s:
@@ -230,7 +239,7 @@
         self.running_by_level[level] += 1
         self.solo_running = ticket.solo
         self._note_delay(ticket, now)
-        urgency = ticket.facts.urgency
+        urgency = ticket.urgency
         nested = urgency is Urgency.NESTED
         self.nested_streak = self.nested_streak + 1 if nested else 0
         if urgency is Urgency.AT_MOST_ONCE:
@@ -241,7 +250,7 @@
     def _note_delay(self, ticket: Ticket, now: float) -> None:
         # Nested calls and bookings start early, so a short wait of theirs does
         # not show that lookups wait for a short time as well.
-        urgency = ticket.facts.urgency
+        urgency = ticket.urgency
         if ticket.solo or urgency is Urgency.NESTED:
             return
         if now - ticket.queued_at >= max(QUEUE_DELAY_TARGET_S, self.service_s):
@@ -263,7 +272,7 @@
         started: list[int] = []
         while (queue := self._next_queue(now)) is not None:
             ticket = self.waiting.pop(heappop(queue)[2])
-            self.counts[ticket.facts.urgency] -= 1
+            self.counts[ticket.urgency] -= 1
             self._start(ticket, now)
             started.append(ticket.request_id)
         if not self.waiting:
@@ -276,7 +285,9 @@
         solo_waits = self._head(self.solo_queue, now) is not None
         if solo_waits and not self.running:
             return self.solo_queue
-        for urgency in self._order():
+        lookup_first = self.booking_streak >= BOOKINGS_PER_LOOKUP
+        others_first = self.nested_streak >= NESTED_IN_A_ROW
+        for urgency in START_ORDER[others_first, lookup_first]:
             if solo_waits and urgency is not Urgency.NESTED:
                 continue
             head = self._head(self.queues[urgency], now)
@@ -284,15 +295,6 @@
                 return self.queues[urgency]
         return None
 
-    def _order(self) -> tuple[Urgency, Urgency, Urgency]:
-        if self.booking_streak >= BOOKINGS_PER_LOOKUP:
-            others = (Urgency.LOOKUP, Urgency.AT_MOST_ONCE)
-        else:
-            others = (Urgency.AT_MOST_ONCE, Urgency.LOOKUP)
-        if self.nested_streak >= NESTED_IN_A_ROW:
-            return (*others, Urgency.NESTED)
-        return (Urgency.NESTED, *others)
-
     def _head(self, queue: Queue, now: float) -> Ticket | None:
         while queue:
             ticket = self.waiting.get(queue[0][2])
@@ -305,5 +307,5 @@
 
     def _expire(self, ticket: Ticket) -> None:
         del self.waiting[ticket.request_id]
-        self.counts[ticket.facts.urgency] -= 1
+        self.counts[ticket.urgency] -= 1
         self.expired.append(ticket.request_id)
--- a/tests/journal/fleet.py
+++ b/src/sassafraswharf_bench/journal_fleet.py
@@ -1,6 +1,9 @@
-"""A fleet of routers with one slot, a wire that loses and reorders, an upstream.
+"""Routers with one slot, a wire that loses and reorders, and an upstream.
 
-No router checks its lease here: the journal alone must prevent a second run.
+The fleet runs the pure journal in virtual time. Each method is one step, so
+that a test or a random walk can kill, freeze or cut off a router between any
+two of them. No router checks its lease here: the journal alone must prevent a
+second run.
 """
 
 from __future__ import annotations
@@ -31,6 +34,8 @@
 
 
 class Call(NamedTuple):
+    """A request of a caller on its way to a router."""
+
     target: SessionId
     name: str
     digest: bytes
@@ -38,12 +43,16 @@
 
 
 class Reply(NamedTuple):
+    """The reply of a member on its way back to an owner."""
+
     target: SessionId
     batch: JournalBatch
     reply: JournalReply
 
 
 class Router:
+    """A process with its store and the journal of its current session."""
+
     def __init__(self) -> None:
         self.store = JournalStore()
         self.frozen = False
@@ -53,6 +62,7 @@
         self.ended: list[tuple[JournalKey, RecordState, bytes]] = []
 
     def open(self, session: SessionId) -> None:
+        """Use a new session and keep the store."""
         self.session = session
         self.quorum = JournalQuorum(session, self.store)
         self.takeover = None
@@ -60,6 +70,8 @@
 
 
 class Fleet:
+    """All routers, the messages between them and what callers were told."""
+
     def __init__(self, size: int) -> None:
         self.now = 0.0
         self.last_session = 0
@@ -83,10 +95,12 @@
         self.settle()
 
     def open(self, index: int) -> None:
+        """Open a new session for a router."""
         self.last_session += 1
         self.routers[index].open(SessionId(self.last_session))
 
     def at(self, session: SessionId) -> Router | None:
+        """Return the process that held a session."""
         for router in self.routers:
             if session in router.store.sessions:
                 return router
@@ -95,6 +109,7 @@
     # Steps of the cell.
 
     def replace_peers(self, index: int, *others: int) -> None:
+        """Give the session of a router another journal set."""
         router = self.routers[index]
         if router.session in self.closed:
             return
@@ -110,6 +125,7 @@
             self.pump(router)
 
     def reassign(self, index: int) -> None:
+        """Move the slot to a router and close the session of the previous owner."""
         router = self.routers[index]
         if router.session in self.closed:
             return
@@ -122,6 +138,7 @@
         self.learn(index)
 
     def learn(self, index: int) -> None:
+        """Let a router see the newest table."""
         router = self.routers[index]
         if router.frozen or router.epoch >= self.epoch:
             return
@@ -141,29 +158,35 @@
     # Steps of faults.
 
     def freeze(self, index: int) -> None:
+        """Stop a router without a trace."""
         self.routers[index].frozen = True
 
     def resume(self, index: int) -> None:
+        """Let a frozen router go on as if nothing had happened."""
         self.routers[index].frozen = False
         self.pump(self.routers[index])
 
     def kill(self, index: int) -> None:
+        """Restart a router with an empty store and a new session."""
         self.closed.add(self.routers[index].session)
         self.routers[index] = Router()
         self.open(index)
         self.replace_peers(index)
 
     def reopen(self, index: int) -> None:
+        """Let a router whose session is closed open a new one."""
         router = self.routers[index]
         if not router.frozen and router.session in self.closed:
             self.open(index)
             self.replace_peers(index)
 
     def drop(self, number: int) -> None:
+        """Lose a message."""
         if self.wire:
             self.lose(self.wire.pop(number % len(self.wire)))
 
     def lose(self, message: JournalBatch | Reply | Call) -> None:
+        """Tell the sender of a batch that its exchange failed."""
         batch = message if isinstance(message, JournalBatch) else None
         if isinstance(message, Reply):
             batch = message.batch
@@ -172,6 +195,7 @@
             router.quorum.on_send_failed(batch)
 
     def pass_time(self, seconds: float) -> None:
+        """Advance the clock of all hosts."""
         self.now += seconds
         if seconds > 600:
             # Callers resend only within the retention time, and the word they
@@ -184,9 +208,11 @@
     def call(
         self, name: str, index: int, close: bool = False, digest: bytes = b"d"
     ) -> None:
+        """Send a request of a caller to a router."""
         self.wire.append(Call(self.routers[index].session, name, digest, close))
 
     def deliver(self, number: int = 0) -> bool:
+        """Deliver a message to a router that runs; return whether there was one."""
         for step in range(len(self.wire)):
             place = (number + step) % len(self.wire)
             message = self.wire[place]
@@ -201,6 +227,7 @@
         return False
 
     def receive(self, router: Router, message: JournalBatch | Reply | Call) -> None:
+        """Let a router handle a message."""
         if isinstance(message, Call):
             self.serve(router, message)
         elif isinstance(message, Reply):
@@ -218,6 +245,7 @@
         self.pump(router)
 
     def serve(self, router: Router, call: Call) -> None:
+        """Let a router decide on a request."""
         key = JournalKey(SERVICE, 0, call.name)
         found = router.quorum.lookup(key, call.digest, self.now)
         if found.decision is Decision.RUN:
@@ -233,6 +261,7 @@
             self.say(call.name, found.decision.name)
 
     def dispatch(self, index: int, refused: bool = False) -> None:
+        """Send a decided request, which the upstream runs or refuses."""
         router = self.routers[index]
         if router.frozen or not router.decided:
             return
@@ -249,6 +278,7 @@
         self.pump(router)
 
     def finish(self, index: int, lost: bool = False) -> None:
+        """Record how a dispatched request ended, and answer."""
         router = self.routers[index]
         if router.frozen or not router.ended:
             return
@@ -259,7 +289,16 @@
             self.say(key.idempotency_key, "answer", answer)
         self.pump(router)
 
+    def hang_up(self, index: int) -> None:
+        """Let callers leave, so that a router abandons what it did not send."""
+        router = self.routers[index]
+        if not router.frozen:
+            for key in list(router.quorum.attempts):
+                router.quorum.abandon(key, self.now)
+            self.pump(router)
+
     def say(self, name: str, word: str, answer: bytes = b"") -> None:
+        """Note what a caller was told."""
         self.words.append((name, word))
         if word == "answer" and (name, answer) not in self.ran:
             self.faults.append(f"{name}: answer {answer!r} of no run")
@@ -268,6 +307,7 @@
             self.not_run.add(name)
 
     def poll(self, index: int) -> None:
+        """Let the timers of a router fire."""
         router = self.routers[index]
         if not router.frozen:
             router.quorum.expire(self.now)
@@ -277,6 +317,7 @@
             self.pump(router)
 
     def settle(self) -> None:
+        """Let all routers that run exchange all messages."""
         for _ in range(4):
             for index in range(len(self.routers)):
                 self.poll(index)
@@ -285,6 +326,7 @@
                     break
 
     def pump(self, router: Router) -> None:
+        """Handle the events of a router and send its batches."""
         if router.frozen:
             return
         takeover = router.takeover
@@ -304,6 +346,7 @@
         self.wire += router.quorum.take_batches(self.now)
 
     def violations(self) -> list[str]:
+        """Return which promises were broken."""
         found = [f"{name} ran {n} times" for name, n in self.runs.items() if n > 1]
         found += [f"{name} ran after not run" for name in self.not_run & set(self.runs)]
         return found + self.faults
--- a/tests/journal/test_at_most_once.py
+++ b/tests/journal/test_at_most_once.py
@@ -19,7 +19,7 @@
 from sassafraswharf.journal.decision import JournalEvent
 from sassafraswharf.journal.journal_quorum import JournalQuorum
 from sassafraswharf.journal.journal_store import JournalStore
-from tests.journal.fleet import Fleet
+from sassafraswharf_bench.journal_fleet import Fleet
 
 
 if TYPE_CHECKING:
@@ -56,7 +56,7 @@
 
     @rule(
         step=st.sampled_from(
-            ["freeze", "resume", "kill", "reopen", "learn", "poll", "replace_peers"]
+            "freeze resume kill reopen learn poll replace_peers hang_up".split()
         ),
         index=INDEX,
     )
