Refuse intents, closures and dispatch without a valid lease

A takeover that finds no quorum becomes ready after the retention time without having sealed anybody, and the old owner, which nobody had sealed, went on deciding. Ruled out: a fault of the merge (no records were merged in that walk).

--- a/src/sassafraswharf/journal/journal_quorum.py
+++ b/src/sassafraswharf/journal/journal_quorum.py
@@ -72,8 +72,22 @@
         self.slots: dict[tuple[ServiceName, int], SlotState] = {}
         self.attempts: dict[JournalKey, Attempt] = {}
         self.events: list[JournalEvent] = []
+        self.lease_expires_at = float("-inf")
         store.sessions.add(session)
 
+    def renewed(self, lease_expires_at: float) -> None:
+        """Note until when the lease of the session is valid.
+
+        Without a valid lease no intent, closure or dispatch begins. A takeover
+        that finds no quorum ends after the retention time, counted from its
+        start; it relies on an old owner that has decided nothing since then.
+        """
+        self.lease_expires_at = lease_expires_at
+
+    def is_lease_valid(self, now: float) -> bool:
+        """Return whether the session may decide anything."""
+        return now < self.lease_expires_at
+
     def set_peers(
         self, generation: int, peers: Sequence[SessionId], now: float
     ) -> None:
@@ -169,6 +183,9 @@
         if attempt.deadline_at <= now:
             self._abandon(key, now)
             return _failed(ResultCode.DEADLINE_EXPIRED)
+        if not self.is_lease_valid(now):
+            self._abandon(key, now)
+            return _failed(ResultCode.LEASE_EXPIRED)
         attempt.phase = Phase.DISPATCHED
         return Ok(attempt.record.epoch)
 
@@ -267,6 +284,8 @@
             return _failed(found.code)
         if deadline_at <= now:
             return _failed(ResultCode.DEADLINE_EXPIRED)
+        if not self.is_lease_valid(now):
+            return _failed(ResultCode.LEASE_EXPIRED)
         known = self.store.get(key, now)
         number = 1 if known is None else known.attempt + 1
         epoch = self.slots[key[:2]].epoch
@@ -296,8 +315,12 @@
 
     def _advance_all(self, now: float) -> None:
         for key, attempt in list(self.attempts.items()):
-            if attempt.deadline_at <= now and attempt.phase is Phase.RECORDING:
+            if attempt.phase not in {Phase.RECORDING, Phase.CLOSING}:
+                self._advance(key)
+            elif attempt.deadline_at <= now:
                 self._fail(key, ResultCode.DEADLINE_EXPIRED, now)
+            elif not self.is_lease_valid(now):
+                self._fail(key, ResultCode.LEASE_EXPIRED, now)
             else:
                 self._advance(key)
 
--- a/src/sassafraswharf_bench/decision_cost.py
+++ b/src/sassafraswharf_bench/decision_cost.py
@@ -130,6 +130,7 @@
 def _journal() -> Callable[[int], object]:
     quorum = JournalQuorum(SessionId(1), JournalStore())
     quorum.set_peers(1, (), 0.0)
+    quorum.renewed(float("inf"))
     service = ServiceName("s")
     quorum.own(service, (0,), 1, ready=True)
 
--- a/src/sassafraswharf_bench/journal_fleet.py
+++ b/src/sassafraswharf_bench/journal_fleet.py
@@ -2,8 +2,8 @@
 
 The fleet runs the pure journal in virtual time. Each method is one step, so
 that a test or a random walk can kill, freeze or cut off a router between any
-two of them. No router checks its lease here: the journal alone must prevent a
-second run.
+two of them. The lease of a closed session stays valid here until the retention
+time has passed, so the journal alone must prevent a second run until then.
 """
 
 from __future__ import annotations
@@ -65,6 +65,7 @@
         """Use a new session and keep the store."""
         self.session = session
         self.quorum = JournalQuorum(session, self.store)
+        self.quorum.renewed(float("inf"))
         self.takeover = None
         self.decided, self.ended = [], []
 
@@ -202,6 +203,9 @@
             # got counts within it.
             self.wire = [m for m in self.wire if not isinstance(m, Call)]
             self.not_run.clear()
+            for router in self.routers:
+                if router.session in self.closed:
+                    router.quorum.renewed(self.now - 1.0)
 
     # Steps of requests.
 
--- a/tests/journal/test_at_most_once.py
+++ b/tests/journal/test_at_most_once.py
@@ -56,7 +56,16 @@
 
     @rule(
         step=st.sampled_from(
-            "freeze resume kill reopen learn poll replace_peers hang_up".split()
+            [
+                "freeze",
+                "resume",
+                "kill",
+                "reopen",
+                "learn",
+                "poll",
+                "replace_peers",
+                "hang_up",
+            ]
         ),
         index=INDEX,
     )
@@ -171,6 +180,15 @@
     ("resume", 0),
     ("dispatch", 0),
 ]
+OLD_OWNER_NEVER_SEALED: Steps = [
+    ("replace_peers", 3, 4, 1),
+    ("settle",),
+    ("reassign", 3),
+    ("pass_time", 700.0),
+    ("poll", 3),
+    *calls(3, finish=True),
+    *calls(0),
+]
 ATTEMPT_DELAYED_BEYOND_REFUSAL: Steps = [
     ("call", "a", 0),
     ("call", "a", 0, True),
@@ -221,6 +239,10 @@
     patch.setattr(JournalQuorum, "dispatch", lambda q, key, _: dispatch(q, key, 0.0))
 
 
+def without_lease_check(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(JournalQuorum, "is_lease_valid", lambda _quorum, _now: True)
+
+
 def without_closure_record(patch: pytest.MonkeyPatch) -> None:
     def close(quorum: JournalQuorum, key: Any, *_: Any) -> None:
         event = JournalEvent(EventKind.CLOSED, key, ResultCode.OK)
@@ -246,6 +268,7 @@
         (PEER_REPLACED_BEFORE_COPY, without_completeness, "a ran 2 times"),
         (OTHER_BODY, without_digest_check, "a: replayed to another request"),
         (FROZEN_BEYOND_RETENTION, without_expiry_check, "a ran 2 times"),
+        (OLD_OWNER_NEVER_SEALED, without_lease_check, "a ran 2 times"),
         (
             ATTEMPT_DELAYED_BEYOND_REFUSAL,
             without_closure_record,
