--- a/src/sassafraswharf/journal/decision.py
+++ b/src/sassafraswharf/journal/decision.py
@@ -54,7 +54,7 @@
     """The intent can't count; the attempt was not run."""
 
     CONCLUDED = auto()
-    """The outcome counts; the answer can go to the caller."""
+    """The outcome counts, or with 4003 never will; the caller is answered."""
 
     CLOSED = auto()
     """The closure counts; the caller may be told that the key was not run."""
--- a/src/sassafraswharf/journal/intent.py
+++ b/src/sassafraswharf/journal/intent.py
@@ -43,9 +43,10 @@
 class Intent(NamedTuple):
     """The declaration that an attempt is about to be dispatched.
 
-    ``attempt`` counts from 1 and increases only after the previous attempt was
-    certainly not run. ``body_digest`` covers everything that makes two requests
-    the same one: method, path, query and body.
+    ``attempt`` increases with each attempt of a session, for any key, and a key
+    has a later attempt only after the previous one was certainly not run.
+    ``body_digest`` covers everything that makes two requests the same one:
+    method, path, query and body.
     """
 
     service: ServiceName
--- a/src/sassafraswharf/journal/journal_quorum.py
+++ b/src/sassafraswharf/journal/journal_quorum.py
@@ -73,6 +73,7 @@
         self.attempts: dict[JournalKey, Attempt] = {}
         self.events: list[JournalEvent] = []
         self.lease_expires_at = float("-inf")
+        self.last_attempt = 0
         store.sessions.add(session)
 
     def renewed(self, lease_expires_at: float) -> None:
@@ -186,6 +187,9 @@
         if not self.is_lease_valid(now):
             self._abandon(key, now)
             return _failed(ResultCode.LEASE_EXPIRED)
+        if not self._holds(attempt, now):
+            self._abandon(key, now)
+            return _failed(ResultCode.STALE_EPOCH)
         attempt.phase = Phase.DISPATCHED
         return Ok(attempt.record.epoch)
 
@@ -211,7 +215,7 @@
             return False
         attempt.record = self.store.get(key, now) or attempt.record
         self.replication.recorded(key)
-        self._advance(key)
+        self._advance(key, now)
         return True
 
     def abandon(self, key: JournalKey, now: float) -> bool:
@@ -287,7 +291,7 @@
         if not self.is_lease_valid(now):
             return _failed(ResultCode.LEASE_EXPIRED)
         known = self.store.get(key, now)
-        number = 1 if known is None else known.attempt + 1
+        number = self._next_attempt(0 if known is None else known.attempt)
         epoch = self.slots[key[:2]].epoch
         record = record_of(Intent(*key, digest, epoch, self.session, number))
         record = record._replace(state=state)
@@ -297,7 +301,7 @@
         phase = Phase.CLOSING if state is RecordState.CLOSED else Phase.RECORDING
         self.attempts[key] = Attempt(phase, record, deadline_at)
         self.replication.recorded(key)
-        self._advance(key)
+        self._advance(key, now)
         return Ok(None)
 
     def _refused(
@@ -316,18 +320,21 @@
     def _advance_all(self, now: float) -> None:
         for key, attempt in list(self.attempts.items()):
             if attempt.phase not in {Phase.RECORDING, Phase.CLOSING}:
-                self._advance(key)
+                self._advance(key, now)
             elif attempt.deadline_at <= now:
                 self._fail(key, ResultCode.DEADLINE_EXPIRED, now)
             elif not self.is_lease_valid(now):
                 self._fail(key, ResultCode.LEASE_EXPIRED, now)
             else:
-                self._advance(key)
+                self._advance(key, now)
 
-    def _advance(self, key: JournalKey) -> None:
+    def _advance(self, key: JournalKey, now: float) -> None:
         attempt = self.attempts[key]
         if attempt.phase not in ON_QUORUM or not self.is_copied((key,)):
             return
+        if not self._holds(attempt, now):
+            self._superseded(key, attempt, now)
+            return
         phase, event = ON_QUORUM[attempt.phase]
         if phase is None:
             del self.attempts[key]
@@ -335,6 +342,33 @@
             attempt.phase = phase
         self.events.append(JournalEvent(event, key, ResultCode.OK))
 
+    def _holds(self, attempt: Attempt, now: float) -> bool:
+        """Return whether the own store still believes the attempt.
+
+        It does not if a newer owner has sealed the slot here or has recorded
+        the key here, since this host may be a peer of the newer owner.
+        """
+        if self.store.is_sealed(attempt.record):
+            return False
+        return self.store.get(attempt.record.key, now) == attempt.record
+
+    def _superseded(self, key: JournalKey, attempt: Attempt, now: float) -> None:
+        if attempt.phase is Phase.CONCLUDING:
+            del self.attempts[key]
+            event = JournalEvent(EventKind.CONCLUDED, key, ResultCode.STALE_EPOCH)
+            self.events.append(event)
+        else:
+            self._fail(key, ResultCode.STALE_EPOCH, now)
+
+    def _next_attempt(self, known: int) -> int:
+        """Return a number that this session has used for no other attempt.
+
+        Numbers per key would begin again when a record has expired, and a
+        delayed outcome of the expired attempt would then beat the new intent.
+        """
+        self.last_attempt = max(self.last_attempt, known) + 1
+        return self.last_attempt
+
     def _fail(self, key: JournalKey, code: ResultCode, now: float) -> None:
         self._abandon(key, now)
         self.events.append(JournalEvent(EventKind.FAILED, key, code))
@@ -346,7 +380,9 @@
         precedence over NOT_RUN of the same attempt.
         """
         record = self.attempts.pop(key).record
-        number = record.attempt + (record.state is RecordState.CLOSED)
+        number = record.attempt
+        if record.state is RecordState.CLOSED:
+            number = self._next_attempt(number)
         record = record._replace(state=RecordState.NOT_RUN, attempt=number)
         if self.store.record_outcome(record, now).is_ok():
             self.replication.recorded(key)
--- a/tests/journal/test_at_most_once.py
+++ b/tests/journal/test_at_most_once.py
@@ -189,6 +189,31 @@
     *calls(3, finish=True),
     *calls(0),
 ]
+OUTCOME_DELAYED_BEYOND_RETENTION: Steps = [
+    *calls(0, dispatch=False),
+    ("dispatch", 0, True),
+    ("finish", 0),
+    ("pass_time", 700.0),
+    *calls(0),
+    ("kill", 0),
+    ("reassign", 3),
+    ("settle",),
+    *calls(3),
+]
+OWN_RECORD_REPLACED: Steps = [
+    ("call", "a", 0),
+    ("deliver",),
+    *[("drop", -1)] * 2,
+    ("freeze", 0),
+    ("reassign", 3),
+    ("settle",),
+    *calls(3, finish=True),
+    ("resume", 0),
+    *[("deliver",)] * 3,
+    *[("drop", -1)] * 5,
+    ("settle",),
+    ("dispatch", 0),
+]
 ATTEMPT_DELAYED_BEYOND_REFUSAL: Steps = [
     ("call", "a", 0),
     ("call", "a", 0, True),
@@ -243,6 +268,14 @@
     patch.setattr(JournalQuorum, "is_lease_valid", lambda _quorum, _now: True)
 
 
+def without_unique_attempts(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(JournalQuorum, "_next_attempt", lambda _quorum, known: known + 1)
+
+
+def without_own_record_check(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(JournalQuorum, "_holds", lambda *_: True)
+
+
 def without_closure_record(patch: pytest.MonkeyPatch) -> None:
     def close(quorum: JournalQuorum, key: Any, *_: Any) -> None:
         event = JournalEvent(EventKind.CLOSED, key, ResultCode.OK)
@@ -268,6 +301,8 @@
         (PEER_REPLACED_BEFORE_COPY, without_completeness, "a ran 2 times"),
         (OTHER_BODY, without_digest_check, "a: replayed to another request"),
         (FROZEN_BEYOND_RETENTION, without_expiry_check, "a ran 2 times"),
+        (OUTCOME_DELAYED_BEYOND_RETENTION, without_unique_attempts, "a ran 2 times"),
+        (OWN_RECORD_REPLACED, without_own_record_check, "a ran 2 times"),
         (OLD_OWNER_NEVER_SEALED, without_lease_check, "a ran 2 times"),
         (
             ATTEMPT_DELAYED_BEYOND_REFUSAL,
