--- a/src/sassafraswharf/router/journal_task.py
+++ b/src/sassafraswharf/router/journal_task.py
@@ -42,6 +42,7 @@
     from sassafraswharf.identifiers import SessionId
     from sassafraswharf.journal.messages import JournalBatch
     from sassafraswharf.journal.takeover import TakeOver
+    from sassafraswharf.leases.holder import LeaseHolder
     from sassafraswharf.ownership.values import Ownership
     from sassafraswharf.router.incoming import Incoming
     from sassafraswharf.router.peer_routers import PeerRouters
@@ -71,9 +72,12 @@
     by the cell, no intent counts: a new owner would not know the set.
     """
 
-    def __init__(self, view: RouterView, peers: PeerRouters, clock: Clock) -> None:
+    def __init__(
+        self, view: RouterView, holder: LeaseHolder, peers: PeerRouters, clock: Clock
+    ) -> None:
         """Start without a session."""
         self.view = view
+        self.holder = holder
         self.peers = peers
         self.clock = clock
         self.store = JournalStore()
@@ -130,6 +134,7 @@
         if quorum is None:
             return
         now = self.clock.now()
+        quorum.renewed(self.holder.expires_at)
         quorum.expire(now)
         batches = quorum.take_batches(now)
         for takeover in self.takeovers:
@@ -268,6 +273,7 @@
     ) -> Answer | None:
         """Record the intent; return a refusal when it does not count."""
         now = self.clock.now()
+        quorum.renewed(self.holder.expires_at)
         begun = quorum.begin(key, digest, deadline_at, now)
         if isinstance(begun, Err):
             return refusal(begun.err_value)
@@ -283,6 +289,7 @@
                 quorum.abandon(key, self.clock.now())
                 return refusal(not_recorded(ResultCode.NOT_OWNER))
             await self.view.changed.wait(remaining_s)
+        quorum.renewed(self.holder.expires_at)
         dispatched = quorum.dispatch(key, self.clock.now())
         if isinstance(dispatched, Err):
             return refusal(dispatched.err_value)
--- a/src/sassafraswharf/router/router_part.py
+++ b/src/sassafraswharf/router/router_part.py
@@ -106,7 +106,7 @@
             lambda: self.meter.report(clock.now()),
         )
         self.peers = PeerRouters(self.signer)
-        self.journal = JournalTask(self.view, self.peers, clock)
+        self.journal = JournalTask(self.view, self.holder, self.peers, clock)
         self.crashes = CrashWatch(self.view, clock, self.link.commit)
         self.local = LocalService(
             host,
