Check the quarantine where a request enters, and wait for the spread

Cause: a resend could be sent to a router that had not pulled the suspicion or conviction yet. The entry router now remembers the crash itself, and the answer waits 150 ms after the report is committed.

--- a/src/sassafraswharf/router/crash_watch.py
+++ b/src/sassafraswharf/router/crash_watch.py
@@ -35,6 +35,9 @@
 RESTART_CHECK_S: Final = 0.3
 """How long to wait for the announcement of a process that was restarted at once."""
 REPORT_WAIT_S: Final = 1.0
+SPREAD_S: Final = 0.15
+"""How long the other routers need to pull a committed suspicion."""
+NOTED_S: Final = 5.0
 DOUBT_S: Final = 3.0
 """An upstream that has not announced a new incarnation by then did not crash."""
 
@@ -99,6 +102,14 @@
         name = runner.upstream.upstream
         self.watch.finished(name, request_id, crashed=True)
         await asyncio.wait([self.probe(runner)], timeout=REPORT_WAIT_S)
+        if runner.lost:
+            await asyncio.sleep(SPREAD_S)
+
+    def note_elsewhere(self, digest: bytes, *, alone: bool) -> None:
+        """Remember a crash behind another router until the cell has spread it."""
+        noted = [(digest, NOTED_S)]
+        suspects, convicted = ([], noted) if alone else (noted, [])
+        self.watch.spread(suspects, convicted, (), self.clock.now())
 
     async def examined(self, runner: UpstreamRunner) -> None:
         """Wait while it is not known whether the upstream has died."""
--- a/src/sassafraswharf/router/request_path.py
+++ b/src/sassafraswharf/router/request_path.py
@@ -12,6 +12,7 @@
 from sassafraswharf.failure import Failure
 from sassafraswharf.identifiers import UpstreamId
 from sassafraswharf.membership.values import UpstreamState
+from sassafraswharf.quarantine.local_watch import Treatment
 from sassafraswharf.requests.outcome import OUTCOMES
 from sassafraswharf.requests.outcome import Exchange
 from sassafraswharf.requests.outcome import OutcomeKind
@@ -21,6 +22,7 @@
 from sassafraswharf.router.answers import Answer
 from sassafraswharf.router.answers import refusal
 from sassafraswharf.router.local_service import not_owner
+from sassafraswharf.router.local_service import quarantined
 from sassafraswharf.router.local_service import refused
 
 
@@ -51,6 +53,10 @@
     {ResultCode.NOT_OWNER, ResultCode.LEASE_EXPIRED, ResultCode.SHUTTING_DOWN}
 )
 """Refusals that another owner, or the same one a little later, may not give."""
+CRASH_CODES: Final = frozenset(
+    {ResultCode.OUTCOME_UNKNOWN, ResultCode.ANSWER_INCOMPLETE}
+)
+NOT_SENT: Final = OUTCOMES[Exchange.NOTHING_SENT]
 ENDED: Final = frozenset({UpstreamState.LOST, UpstreamState.GONE})
 
 
@@ -93,11 +99,17 @@
     async def serve(self, request: Incoming) -> Attempt:
         """Return the whole answer or a refusal, with the address of the owner."""
         now = self.clock.now()
+        treatment = self.local.crashes.treatment(request.digest)
+        if treatment is Treatment.REFUSED:
+            return Attempt(refusal(quarantined(request.digest)), NOT_SENT)
+        if treatment is Treatment.ALONE:
+            request = request._replace(solo=True)
         budget = self.budget(request.classification.service, now)
         budget.on_request(now)
         hold_until = min(request.deadline_at, now + HOLD_S)
         while True:
             attempt = await self.attempt(request)
+            self.note_crash(request, attempt)
             if not await self.tries_again(request, attempt, budget, hold_until):
                 return final(attempt)
             if attempt.outcome.kind is OutcomeKind.MAY_HAVE_RUN:
@@ -133,6 +145,15 @@
             return await self.attempt_here(request, ownership.upstream, ownership)
         return await self.attempt_there(request, ownership.upstream, session)
 
+    def note_crash(self, request: Incoming, attempt: Attempt) -> None:
+        """Remember a request that may have crashed an upstream.
+
+        A resend may come before the table with the suspicion.
+        """
+        outcome = attempt.outcome
+        if outcome.upstream_failed and outcome.code in CRASH_CODES:
+            self.local.crashes.note_elsewhere(request.digest, alone=request.solo)
+
     async def attempt_any(self, request: Incoming) -> Attempt:
         """Choose among the available upstreams of a service without a key."""
         service = request.classification.service
@@ -270,7 +291,7 @@
 def no_owner(message: str) -> Attempt:
     """Return the attempt that found nobody to ask."""
     answer = refusal(Failure(ResultCode.HANDOVER_TIMEOUT, message))
-    return Attempt(answer, OUTCOMES[Exchange.NOTHING_SENT])
+    return Attempt(answer, NOT_SENT)
 
 
 def outcome_of(answer: Answer, kind: OutcomeKind, *, failed: bool) -> Outcome:
