Estimate cold slots per upstream and plan at most once a second

Cold slots were given the mean of the whole service, although the load of each upstream is measured, and hot slots without an owner went to the slowest upstream first. Ruled out: the budget, since full plans of 512 moves were spent without an end. Cold slots now have the smoothed mean of their own upstream.

--- a/src/sassafraswharf/cell/controller.py
+++ b/src/sassafraswharf/cell/controller.py
@@ -35,6 +35,7 @@
 
 
 CELL_ACTOR = "cell"
+REBALANCE_EVERY_S = 1.0
 
 
 class CellController:
@@ -54,6 +55,7 @@
         self.weights = weights or Weights()
         self.limits = limits or PlannerLimits()
         self.planners: dict[ServiceName, Planner] = {}
+        self._planned_at: dict[ServiceName, float] = {}
 
     def configure(self, weights: Weights, limits: PlannerLimits) -> None:
         """Use other weights and limits from the next tick on."""
@@ -102,10 +104,7 @@
         at: float,
     ) -> list[Command]:
         table = state.tables[service]
-        planner = self.planners.get(service)
-        if planner is None:
-            planner = Planner(self.weights, self.limits)
-            self.planners[service] = planner
+        planner = self._planner(service)
         upstreams = [u for u in state.upstreams.values() if u.service == service]
         sessions = {
             u.upstream: u.session
@@ -117,12 +116,19 @@
         def is_orphaned(holding: Holding) -> bool:
             return holding.session in gone or state.is_orphaned(holding)
 
+        orphans = table.slots_where(is_orphaned) if sessions else []
+        # Loads change slowly, and a plan takes milliseconds of the leader's time,
+        # so that only orphaned slots are planned in every tick.
+        last = self._planned_at.get(service)
+        if not orphans and last is not None and now - last < REBALANCE_EVERY_S:
+            return []
+        self._planned_at[service] = now
         moves = planner.plan(
             table,
             loads.upstream_loads(upstreams, set(sessions), now),
             loads.slot_loads(upstreams, now),
             now,
-            table.slots_where(is_orphaned),
+            orphans,
         )
         commands: list[Command] = []
         assignments = _assignments(moves, sessions)
@@ -133,6 +139,13 @@
             commands.append(CloseSlots(service, closing, at))
         return commands
 
+    def _planner(self, service: ServiceName) -> Planner:
+        planner = self.planners.get(service)
+        if planner is None:
+            planner = Planner(self.weights, self.limits)
+            self.planners[service] = planner
+        return planner
+
     def _remove_drained(
         self, state: CellState, gone: frozenset[SessionId], at: float
     ) -> Iterable[Command]:
--- a/src/sassafraswharf/placement/balance.py
+++ b/src/sassafraswharf/placement/balance.py
@@ -13,19 +13,27 @@
 
     from sassafraswharf.identifiers import UpstreamId
     from sassafraswharf.ownership.slot_table import SlotTable
+    from sassafraswharf.placement.cold_loads import ColdLoads
     from sassafraswharf.placement.slot_index import SlotIndex
     from sassafraswharf.placement.values import UpstreamLoad
 
 
 MIN_SPEED = 1e-6
-COLD_SHARE = 0.05
 MAX_HOT_CANDIDATES = 64
 
 
 class Bin:
     """An upstream while moves are planned."""
 
-    __slots__ = ("available", "excess", "load", "position", "speed", "upstream")
+    __slots__ = (
+        "available",
+        "cold_load",
+        "excess",
+        "load",
+        "position",
+        "speed",
+        "upstream",
+    )
 
     def __init__(self, position: int, load: UpstreamLoad) -> None:
         self.position = position
@@ -33,14 +41,15 @@
         self.speed = max(load.speed, MIN_SPEED)
         self.available = load.available
         self.load = 0.0
+        self.cold_load = 0.0
         self.excess = 0.0
 
 
 class Balance:
     """Loads of all upstreams of a service, updated with each planned move.
 
-    Slots that are not in ``slot_loads`` share the rest of the measured load
-    equally. Without any measured load all slots count the same.
+    Slots that are not in ``slot_loads`` have the mean load of the cold slots of
+    their upstream. Without any measured load all slots count the same.
     """
 
     def __init__(
@@ -51,26 +60,35 @@
         table: SlotTable,
         orphans: Sequence[int],
         planned: Mapping[int, UpstreamId],
+        cold_loads: ColdLoads,
     ) -> None:
         self.index = index
         self.slot_loads = slot_loads
         self.slot_count = table.slot_count
-        self.cold_load = self._cold_load(upstreams)
+        self.cold_load = cold_loads.average
         self.bins = [Bin(n, load) for n, load in enumerate(upstreams)]
         self.by_upstream = {item.upstream: item for item in self.bins}
-        self.total = self.cold_load * (self.slot_count - len(slot_loads)) + sum(
-            slot_loads.values()
-        )
+        for item in self.bins:
+            item.cold_load = cold_loads.of(item.upstream)
         speed = sum(item.speed for item in self.bins if item.available)
         self.total_speed = speed or 1.0
-        self.mean = self.total / self.total_speed
         self._fill(orphans, planned)
+        self.total = sum(item.load for item in self.bins)
+        self.total += sum(self.load_of(slot) for slot in orphans)
+        self.mean = self.total / self.total_speed
+        for item in self.bins:
+            self.add(item, 0.0)
         self._sorted: dict[int, list[int]] = {}
         self._hot = self._hot_slots()
 
     def load_of(self, slot: int) -> float:
         """Return the estimated load of a slot."""
-        return self.slot_loads.get(slot, self.cold_load)
+        load = self.slot_loads.get(slot)
+        if load is not None:
+            return load
+        owner = self.index.owner.get(slot)
+        item = self.by_upstream.get(owner) if owner is not None else None
+        return item.cold_load if item is not None else self.cold_load
 
     def add(self, item: Bin, load: float) -> None:
         """Add load to an upstream."""
@@ -104,7 +122,7 @@
         slope = (source.load / source.speed - target.load / target.speed) / self.mean
         hot = self._hot.get(source.upstream)
         hottest = self.load_of(hot[0]) if hot else 0.0
-        part = max(hottest, self.cold_load) / self.mean
+        part = max(hottest, source.cold_load) / self.mean
         best = slope / (1 / source.speed + 1 / target.speed)
         return 2 * min(part, best) * slope * self.slot_count / self.total_speed
 
@@ -130,23 +148,15 @@
                 return
             slots.pop()
 
-    def _cold_load(self, upstreams: Sequence[UpstreamLoad]) -> float:
-        measured = sum(load.load for load in upstreams)
-        hot = sum(self.slot_loads.values())
-        cold_slots = max(1, self.slot_count - len(self.slot_loads))
-        total = max(measured, hot)
-        if total <= 0:
-            return 1.0
-        # A floor keeps slots that are idle now spread over the upstreams.
-        return max(total - hot, total * COLD_SHARE) / cold_slots
-
     def _fill(self, orphans: Sequence[int], planned: Mapping[int, UpstreamId]) -> None:
         for item in self.bins:
             count = len(self.index.slots.get(item.upstream, ()))
-            item.load = self.cold_load * count
+            item.load = item.cold_load * count
         owner = self.index.owner
         for slot, load in self.slot_loads.items():
-            self._shift(owner.get(slot), load - self.cold_load)
+            holder = self.by_upstream.get(owner[slot]) if slot in owner else None
+            if holder is not None:
+                holder.load += load - holder.cold_load
         for slot in orphans:
             self._shift(owner.get(slot), -self.load_of(slot))
         lost = set(orphans) if planned else set()
@@ -154,8 +164,6 @@
             if slot not in lost:
                 self._shift(owner.get(slot), -self.load_of(slot))
                 self._shift(target, self.load_of(slot))
-        for item in self.bins:
-            self.add(item, 0.0)
 
     def _shift(self, upstream: UpstreamId | None, load: float) -> None:
         item = self.by_upstream.get(upstream) if upstream is not None else None
--- a/src/sassafraswharf/placement/load_view.py
+++ b/src/sassafraswharf/placement/load_view.py
@@ -32,6 +32,7 @@
 
 MAX_REPORT_BYTES = 960
 """A renewal has 1,200 bytes; the rest is for the envelope and other fields."""
+MAX_TOP_SLOTS = 64
 RATE_UNIT = 0.1
 REPORT_LIFETIME_S = 5.0
 
@@ -64,10 +65,11 @@
 def encode_load(samples: Iterable[UpstreamSample]) -> bytes:
     """Encode the load of a host's upstreams in at most 960 bytes.
 
+    At most 64 slots per upstream are reported, which bounds the leader's work.
     The coolest slots of all upstreams are left out until the report fits.
     """
     known = list(samples)
-    count = max((len(sample.slot_loads) for sample in known), default=0)
+    count = MAX_TOP_SLOTS
     while True:
         data = msgspec.msgpack.encode([_report(sample, count) for sample in known])
         if len(data) <= MAX_REPORT_BYTES:
--- a/src/sassafraswharf/placement/orphans.py
+++ b/src/sassafraswharf/placement/orphans.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-import heapq
-
 from typing import TYPE_CHECKING
 
+from sassafraswharf.placement.takers import Takers
 from sassafraswharf.placement.values import Move
 
 
@@ -52,13 +51,13 @@
 
 
 def _place_hot(slots: list[int], balance: Balance) -> list[Move]:
-    heap = [(b.excess, b.position) for b in balance.bins if b.available]
-    heapq.heapify(heap)
+    takers = Takers(balance.bins)
     moves = []
     for slot in sorted(slots, key=lambda slot: -balance.load_of(slot)):
-        target = balance.bins[heap[0][1]]
-        balance.add(target, balance.load_of(slot))
-        heapq.heapreplace(heap, (target.excess, target.position))
+        load = balance.load_of(slot)
+        target = takers.least_utilised_with(load)
+        balance.add(target, load)
+        takers.changed(target)
         moves.append(Move(slot, None, target.upstream))
     return moves
 
--- a/src/sassafraswharf/placement/planner.py
+++ b/src/sassafraswharf/placement/planner.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from sassafraswharf.placement.balance import Balance
+from sassafraswharf.placement.cold_loads import ColdLoads
 from sassafraswharf.placement.orphans import place_orphans
 from sassafraswharf.placement.slot_index import SlotIndex
 from sassafraswharf.placement.takers import Takers
@@ -48,6 +49,7 @@
         self.weights = weights or Weights()
         self.limits = limits or PlannerLimits()
         self.index = SlotIndex()
+        self.cold_loads = ColdLoads()
         self._planned: dict[int, tuple[UpstreamId, float]] = {}
         self._moved_at: dict[int, float] = {}
         self._tokens = 0.0
@@ -75,7 +77,10 @@
         available = {load.upstream for load in upstreams if load.available}
         lost = self._orphans(table, available) if orphans is None else list(orphans)
         planned = {slot: target for slot, (target, _) in self._planned.items()}
-        balance = Balance(self.index, upstreams, slot_loads, table, lost, planned)
+        self.cold_loads.update(self.index, upstreams, slot_loads, now)
+        balance = Balance(
+            self.index, upstreams, slot_loads, table, lost, planned, self.cold_loads
+        )
         moves = place_orphans(table, lost, balance, planned)
         for move in moves:
             self._planned.pop(move.slot, None)
--- a/src/sassafraswharf/placement/takers.py
+++ b/src/sassafraswharf/placement/takers.py
@@ -43,6 +43,12 @@
         """Return one upstream of each class."""
         return [self._top(heap) for heap in self._heaps.values()]
 
+    def least_utilised_with(self, load: float) -> Bin:
+        """Return the upstream that is least utilised after taking the load."""
+        return min(
+            self.least_utilised(), key=lambda item: item.excess + load / item.speed
+        )
+
     def _top(self, heap: list[tuple[float, int]]) -> Bin:
         # An entry with an outdated key has a newer one elsewhere in the heap.
         while heap[0][0] != self._bins[heap[0][1]].excess:
