--- a/src/sassafraswharf/leases/holder.py
+++ b/src/sassafraswharf/leases/holder.py
@@ -19,6 +19,7 @@
 
 NO_SESSION = SessionId(0)
 NEVER = float("-inf")
+RETRY_S = 0.05
 
 
 class LeaseHolder:
@@ -101,9 +102,10 @@
         if refusal.code == ResultCode.SESSION_CLOSED:
             self.close()
             return
-        # Another replica may be the leader: the next renewal is due at once,
-        # but not more often than this host can be answered.
-        self._last_sent_at = min(self._last_sent_at, now - self.timing.renew_every_s)
+        # Another replica may be the leader. The pause keeps the hosts of a cell
+        # from flooding its replicas during an election.
+        due_at = now + RETRY_S
+        self._last_sent_at = min(self._last_sent_at, due_at - self.timing.renew_every_s)
 
     def is_valid(self, now: float) -> bool:
         """Return whether the host may serve its slots at ``now``."""
--- a/tests/cell/simulation.py
+++ b/tests/cell/simulation.py
@@ -19,10 +19,6 @@
 from sassafraswharf.cell.state import CellState
 from sassafraswharf.cell.view import CellView
 from sassafraswharf.codes import ResultCode
-from sassafraswharf.identifiers import HostId
-from sassafraswharf.identifiers import ServiceName
-from sassafraswharf.identifiers import SessionId
-from sassafraswharf.identifiers import UpstreamId
 from sassafraswharf.leases.grantor import LeaseGrantor
 from sassafraswharf.leases.holder import LeaseHolder
 from sassafraswharf.leases.messages import LeaseAck
@@ -37,7 +33,7 @@
     from collections.abc import Callable
 
 
-SERVICE = ServiceName("diary")
+SERVICE = "diary"
 SLOTS = 12
 WORK_S = 0.3
 
@@ -47,10 +43,10 @@
 
     def __init__(self, sim: Simulation, name: str, zone: str, rate: float) -> None:
         self.sim = sim
-        self.name = HostId(name)
+        self.name = name
         self.zone = zone
         self.rate = rate
-        self.upstream = UpstreamId(f"u-{name}")
+        self.upstream = f"u-{name}"
         self.upstream_incarnation = 1
         self.running = {self.upstream: 1}
         self.incarnation = 0
@@ -287,9 +283,9 @@
                 self.grantor.released(session)
             elif known.state == SessionState.SUPERSEDED:
                 self.grantor.superseded(session)
-        opened = self.state.sessions.get(SessionId(self.index))
+        opened = self.state.sessions.get(self.index)
         if opened is not None and opened.state == SessionState.OPEN:
-            self.grantor.opened(SessionId(self.index), self.leader_now())
+            self.grantor.opened(self.index, self.leader_now())
 
     def run(self, seconds: float) -> None:
         for _ in range(round(seconds / self.step_s)):
--- a/tests/cell/test_sources.py
+++ b/tests/cell/test_sources.py
@@ -8,8 +8,6 @@
 from hypothesis import strategies as st
 
 from sassafraswharf.cell import slot_changes
-from sassafraswharf.identifiers import SessionId
-from sassafraswharf.identifiers import UpstreamId
 from sassafraswharf.ownership.values import Holding
 
 
@@ -20,20 +18,20 @@
 
 def play(steps: list[int | str]) -> None:
     """Check that an owner without sources has every intent of the slot."""
-    holding = Holding(None, SessionId(0), False, ())
+    holding = Holding(None, 0, False, ())
     written = 0
     known: dict[int, set[int]] = {session: set() for session in range(5)}
     for step in steps:
         sources = holding.sources
         if isinstance(step, int):
-            new = SessionId(step)
+            new = step
             sources = slot_changes.sources_after(holding, new)
-            holding = Holding(UpstreamId("u"), new, False, sources)
+            holding = Holding("u", new, False, sources)
         elif holding.session == 0:
             continue
         elif step == "release":
-            sources = slot_changes.sources_after(holding, SessionId(0))
-            holding = Holding(None, SessionId(0), False, sources)
+            sources = slot_changes.sources_after(holding, 0)
+            holding = Holding(None, 0, False, sources)
             continue
         else:
             for source in sources:
@@ -53,10 +51,7 @@
 
 @pytest.mark.parametrize(
     "sources_after",
-    [
-        lambda _, __: (),
-        lambda holding, new: tuple({holding.session} - {new, 0}),
-    ],
+    [lambda _, __: (), lambda holding, new: tuple({holding.session} - {new, 0})],
     ids=["no sources", "only the previous session"],
 )
 def test_check_fails_without(
--- a/tests/cell/test_state.py
+++ b/tests/cell/test_state.py
@@ -10,17 +10,13 @@
 from sassafraswharf.cell.commands import ServiceSpec
 from sassafraswharf.cell.state import CellState
 from sassafraswharf.codes import ResultCode
-from sassafraswharf.identifiers import HostId
-from sassafraswharf.identifiers import ServiceName
-from sassafraswharf.identifiers import SessionId
-from sassafraswharf.identifiers import UpstreamId
 from sassafraswharf.membership.values import SessionState
 from sassafraswharf.membership.values import UpstreamState
 from sassafraswharf.ownership.values import SlotRange
 
 
-SERVICE = ServiceName("diary")
-UP = UpstreamId("u1")
+SERVICE = "diary"
+UP = "u1"
 ALL = (SlotRange(0, 8),)
 
 
@@ -41,7 +37,7 @@
 
     def open(self, host: str = "h1", incarnation: int = 1) -> Any:
         return self.do(
-            commands.OpenSession(HostId(host), incarnation, "z", "", "", "", "")
+            commands.OpenSession(host, incarnation, "z", "", "", "", "")
         ).session
 
     def announce(
@@ -49,21 +45,12 @@
     ) -> Any:
         return self.do(
             commands.AnnounceUpstream(
-                UpstreamId(name),
-                HostId(host),
-                SessionId(session),
-                SERVICE,
-                "",
-                4,
-                4,
-                True,
-                incarnation,
-                1.0,
+                name, host, session, SERVICE, "", 4, 4, True, incarnation, 1.0
             )
         )
 
     def assign(self, session: int, name: str = "u1") -> Any:
-        part = commands.Assignment(0, 8, UpstreamId(name), SessionId(session))
+        part = commands.Assignment(0, 8, name, session)
         return self.do(commands.AssignSlots(SERVICE, (part,)))
 
 
@@ -95,11 +82,7 @@
         ([ADMIT, BACK, LOST], UpstreamState.ADMITTED, 4002),
         ([ADMIT, BACK, SAME], UpstreamState.ADMITTED, 4002),
         ([ADMIT, DRAIN, LOST], UpstreamState.GONE, 0),
-        (
-            [commands.AdmitUpstream(UpstreamId("x"), "op")],
-            UpstreamState.ANNOUNCED,
-            4001,
-        ),
+        ([commands.AdmitUpstream("x", "op")], UpstreamState.ANNOUNCED, 4001),
     ],
 )
 def test_upstream_states(steps: list[Any], state: UpstreamState, code: int) -> None:
@@ -190,7 +173,7 @@
     """Guards against a set that counts before the records were copied to it."""
     log = Log()
     session = log.open()
-    first, second = (SessionId(90),), (SessionId(91),)
+    first, second = (90,), (91,)
     log.do(commands.SetJournalPeers(session, 1, first))
     assert log.state.sessions[session].peers == first
     log.do(commands.SetJournalPeers(session, 2, second))
--- a/tests/leases/test_leases.py
+++ b/tests/leases/test_leases.py
@@ -3,8 +3,6 @@
 import pytest
 
 from sassafraswharf.codes import ResultCode
-from sassafraswharf.identifiers import HostId
-from sassafraswharf.identifiers import SessionId
 from sassafraswharf.leases.grantor import LeaseGrantor
 from sassafraswharf.leases.holder import LeaseHolder
 from sassafraswharf.leases.messages import LeaseAck
@@ -13,18 +11,18 @@
 from sassafraswharf.leases.messages import LeaseTiming
 
 
-SESSION = SessionId(7)
+SESSION = 7
 
 
 def holder_with_renewal(sent_at: float) -> tuple[LeaseHolder, LeaseRenewal]:
-    holder = LeaseHolder(HostId("h"), LeaseTiming())
+    holder = LeaseHolder("h", LeaseTiming())
     holder.open(SESSION, sent_at)
     renewal = holder.next_renewal(sent_at)
     assert renewal is not None
     return holder, renewal
 
 
-def ack(sequence: int, session: SessionId = SESSION) -> LeaseAck:
+def ack(sequence: int, session: int = SESSION) -> LeaseAck:
     return LeaseAck(session, sequence, 0.9, 1, 0, 0)
 
 
@@ -37,7 +35,7 @@
         (ack(1), 10.9, False),
         (ack(1), 500.0, False),
         (ack(2), 10.1, False),
-        (ack(1, SessionId(6)), 10.1, False),
+        (ack(1, 6), 10.1, False),
         (LeaseRefusal(SESSION, 1, ResultCode.SESSION_CLOSED, None), 10.1, False),
     ],
 )
@@ -73,10 +71,19 @@
     assert holder.next_renewal(20.0) is None
 
 
+@pytest.mark.parametrize(("after_s", "is_due"), [(0.04, False), (0.06, True)])
+def test_renewal_after_a_refusal_is_early(after_s: float, is_due: bool) -> None:
+    """Guards against leases lost in an election, and against a flood of retries."""
+    holder, _ = holder_with_renewal(10.0)
+    holder.on_refusal(LeaseRefusal(SESSION, 1, ResultCode.NOT_LEADER, "c2"), 10.01)
+    assert (holder.next_renewal(10.01 + after_s) is not None) is is_due
+    assert holder.leader_hint == "c2"
+
+
 @pytest.mark.parametrize(("after_s", "expired"), [(0.0, 0), (0.949, 0), (0.951, 2)])
 def test_new_leader_waits_a_term_and_the_margin(after_s: float, expired: int) -> None:
     """Guards against a new leader that ends leases of its predecessor early."""
-    grantor = LeaseGrantor(LeaseTiming(), 100.0, [SESSION], [SessionId(3)])
+    grantor = LeaseGrantor(LeaseTiming(), 100.0, [SESSION], [3])
     assert len(grantor.expired(100.0 + after_s)) == expired
 
 
@@ -84,7 +91,7 @@
     """Guards against a grant after the closing was proposed."""
     grantor = LeaseGrantor(LeaseTiming(), 100.0, [SESSION])
     assert grantor.expired(101.0) == [SESSION]
-    answer = grantor.on_renewal(LeaseRenewal(HostId("h"), SESSION, 1, 0, 0, b""), 101.0)
+    answer = grantor.on_renewal(LeaseRenewal("h", SESSION, 1, 0, 0, b""), 101.0)
     assert isinstance(answer, LeaseRefusal)
     assert grantor.expired(101.1) == [SESSION]
     grantor.released(SESSION)
@@ -94,7 +101,7 @@
 def test_old_renewal_does_not_extend() -> None:
     """Guards against replays that keep a dead host's slots from others."""
     grantor = LeaseGrantor(LeaseTiming(), 100.0, [SESSION])
-    renewal = LeaseRenewal(HostId("h"), SESSION, 5, 0, 0, b"")
+    renewal = LeaseRenewal("h", SESSION, 5, 0, 0, b"")
     assert isinstance(grantor.on_renewal(renewal, 100.1), LeaseAck)
     assert isinstance(grantor.on_renewal(renewal, 100.9), LeaseAck)
     assert grantor.expired(101.06) == [SESSION]
@@ -105,6 +112,6 @@
     grantor = LeaseGrantor(LeaseTiming(), 100.0, [])
     grantor.opened(SESSION, 100.0)
     grantor.superseded(SESSION)
-    renewal = LeaseRenewal(HostId("h"), SESSION, 1, 0, 0, b"")
+    renewal = LeaseRenewal("h", SESSION, 1, 0, 0, b"")
     assert isinstance(grantor.on_renewal(renewal, 100.1), LeaseRefusal)
     assert grantor.expired(100.96) == [SESSION]
--- a/tests/ownership/test_slot_table.py
+++ b/tests/ownership/test_slot_table.py
@@ -8,24 +8,21 @@
 from hypothesis import strategies as st
 
 from sassafraswharf.codes import ResultCode
-from sassafraswharf.identifiers import ServiceName
-from sassafraswharf.identifiers import SessionId
-from sassafraswharf.identifiers import UpstreamId
 from sassafraswharf.ownership.hashing import slot_of
 from sassafraswharf.ownership.slot_table import SlotTable
 from sassafraswharf.ownership.values import SlotRun
 from sassafraswharf.ownership.values import TableDelta
 
 
-SERVICE = ServiceName("diary")
+SERVICE = "diary"
 SLOTS = 600
 
 
 def run(
     start: int, length: int, owner: str | None, epoch: int, closing: bool = False
 ) -> SlotRun:
-    upstream = UpstreamId(owner) if owner else None
-    session = SessionId(int(owner[1:]) if owner else 0)
+    upstream = owner or None
+    session = int(owner[1:]) if owner else 0
     return SlotRun(start, length, upstream, session, epoch, closing, ())
 
 
--- a/tests/placement/test_load_view.py
+++ b/tests/placement/test_load_view.py
@@ -6,10 +6,6 @@
 from hypothesis import strategies as st
 
 from sassafraswharf.codes import ResultCode
-from sassafraswharf.identifiers import HostId
-from sassafraswharf.identifiers import ServiceName
-from sassafraswharf.identifiers import SessionId
-from sassafraswharf.identifiers import UpstreamId
 from sassafraswharf.membership.values import Upstream
 from sassafraswharf.membership.values import UpstreamState
 from sassafraswharf.placement.load_view import MAX_REPORT_BYTES
@@ -19,28 +15,18 @@
 from sassafraswharf.placement.load_view import encode_load
 
 
-SESSION = SessionId(5)
+SESSION = 5
 
 
 def upstream(name: str, speed: float) -> Upstream:
     return Upstream(
-        UpstreamId(name),
-        HostId("h"),
-        SESSION,
-        ServiceName("diary"),
-        "",
-        4,
-        4,
-        True,
-        1,
-        speed,
-        UpstreamState.ADMITTED,
+        name, "h", SESSION, "diary", "", 4, 4, True, 1, speed, UpstreamState.ADMITTED
     )
 
 
 def sample(name: str, speed: float, slots: int) -> UpstreamSample:
     loads = [(slot * 13 % 65_536, float(slot)) for slot in range(slots)]
-    return UpstreamSample(UpstreamId(name), 5_833.0, speed, loads)
+    return UpstreamSample(name, 5_833.0, speed, loads)
 
 
 @pytest.mark.parametrize(
@@ -62,7 +48,7 @@
     view = LoadView()
     known = [upstream("a", 2.0), upstream("b", 1.0)]
     view.update(SESSION, encode_load([sample("a", 500.0, 3)]), 10.0).unwrap()
-    loads = view.upstream_loads(known, {UpstreamId("a")}, 10.0)
+    loads = view.upstream_loads(known, {"a"}, 10.0)
     assert [(u.speed, u.load, u.available) for u in loads] == [
         (500.0, 5_833.0, True),
         (250.0, 0.0, False),
@@ -75,7 +61,7 @@
     view = LoadView()
     view.update(SESSION, encode_load([sample("a", 500.0, 3)]), 10.0).unwrap()
     assert view.slot_loads([upstream("a", 1.0)], 16.0) == {}
-    moved = upstream("a", 1.0)._replace(session=SessionId(9))
+    moved = upstream("a", 1.0)._replace(session=9)
     assert view.slot_loads([moved], 10.0) == {}
 
 
--- a/tests/placement/test_planner.py
+++ b/tests/placement/test_planner.py
@@ -2,9 +2,6 @@
 
 import pytest
 
-from sassafraswharf.identifiers import ServiceName
-from sassafraswharf.identifiers import SessionId
-from sassafraswharf.identifiers import UpstreamId
 from sassafraswharf.ownership.slot_table import SlotTable
 from sassafraswharf.ownership.values import SlotRun
 from sassafraswharf.placement.planner import Planner
@@ -21,7 +18,7 @@
     """A table to which every planned move is applied at once."""
 
     def __init__(self, speeds: dict[str, float], planner: Planner) -> None:
-        self.table = SlotTable(ServiceName("diary"), SLOTS)
+        self.table = SlotTable("diary", SLOTS)
         self.speeds = dict(speeds)
         self.planner = planner
         self.loads: dict[int, float] = {}
@@ -37,15 +34,12 @@
 
     def plan(self, now: float, away: tuple[str, ...] = ()) -> list[Move]:
         upstreams = [
-            UpstreamLoad(UpstreamId(n), s, self.load_of(n), n not in away)
+            UpstreamLoad(n, s, self.load_of(n), n not in away)
             for n, s in self.speeds.items()
         ]
         moves = self.planner.plan(self.table, upstreams, self.loads, now)
         self.epoch += 1
-        runs = [
-            SlotRun(m.slot, 1, m.target, SessionId(1), self.epoch, False, ())
-            for m in moves
-        ]
+        runs = [SlotRun(m.slot, 1, m.target, 1, self.epoch, False, ()) for m in moves]
         self.table.assign(runs, self.epoch).unwrap()
         return moves
 
@@ -101,8 +95,7 @@
     service.plan(0.0)
     orphans = [s for s in range(SLOTS) if service.table.at(s).upstream == "b"]
     upstreams = [
-        UpstreamLoad(UpstreamId(n), s, service.load_of(n), True)
-        for n, s in SPEEDS.items()
+        UpstreamLoad(n, s, service.load_of(n), True) for n, s in SPEEDS.items()
     ]
     moves = service.planner.plan(service.table, upstreams, {}, 1.0, orphans)
     assert {(m.slot, m.target) for m in moves} == {(slot, "b") for slot in orphans}
@@ -151,7 +144,7 @@
     monkeypatch.setattr(
         service.planner.index, "_put", lambda s, u: (read.append(s), put(s, u))
     )
-    run = SlotRun(9, 1, UpstreamId("b"), SessionId(1), 99, False, ())
+    run = SlotRun(9, 1, "b", 1, 99, False, ())
     service.table.assign([run], 99).unwrap()
     service.plan(2.0)
     assert read == [9]
--- a/tests/quarantine/test_suspect_table.py
+++ b/tests/quarantine/test_suspect_table.py
@@ -5,7 +5,6 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from sassafraswharf.identifiers import UpstreamId
 from sassafraswharf.quarantine.suspect_table import CONVICTION_S
 from sassafraswharf.quarantine.suspect_table import CrashSeen
 from sassafraswharf.quarantine.suspect_table import SuspectTable
@@ -16,7 +15,7 @@
 
 
 def crash(number: int) -> CrashSeen:
-    return CrashSeen(UpstreamId("u"), number)
+    return CrashSeen("u", number)
 
 
 @given(
@@ -55,12 +54,7 @@
 
 @pytest.mark.parametrize(
     ("alone", "convicted"),
-    [
-        ([True], 0),
-        ([False, False], 0),
-        ([False, True], 1),
-        ([True, True], 1),
-    ],
+    [([True], 0), ([False, False], 0), ([False, True], 1), ([True, True], 1)],
 )
 def test_only_a_crash_alone_convicts(alone: list[bool], convicted: int) -> None:
     """Guards against a conviction for a crash that another request caused."""
