--- a/src/sassafraswharf/cell/controller.py
+++ b/src/sassafraswharf/cell/controller.py
@@ -10,6 +10,7 @@
 from sassafraswharf.cell.commands import CloseSlots
 from sassafraswharf.cell.commands import RemoveUpstream
 from sassafraswharf.cell.commands import SetJournalPeers
+from sassafraswharf.cell.journal_peers import PEER_COUNT
 from sassafraswharf.cell.journal_peers import choose_peers
 from sassafraswharf.membership.values import SessionState
 from sassafraswharf.membership.values import UpstreamState
@@ -21,6 +22,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
+    from collections.abc import Mapping
     from collections.abc import Sequence
 
     from sassafraswharf.cell.commands import Command
@@ -35,6 +37,7 @@
 
 
 CELL_ACTOR = "cell"
+REBALANCE_EVERY_S = 1.0
 
 
 class CellController:
@@ -54,6 +57,8 @@
         self.weights = weights or Weights()
         self.limits = limits or PlannerLimits()
         self.planners: dict[ServiceName, Planner] = {}
+        self._planned_at: dict[ServiceName, float] = {}
+        self._settled_peers: dict[SessionId, tuple[SessionId, ...]] | None = None
 
     def configure(self, weights: Weights, limits: PlannerLimits) -> None:
         """Use other weights and limits from the next tick on."""
@@ -102,10 +107,7 @@
         at: float,
     ) -> list[Command]:
         table = state.tables[service]
-        planner = self.planners.get(service)
-        if planner is None:
-            planner = Planner(self.weights, self.limits)
-            self.planners[service] = planner
+        planner = self._planner(service)
         upstreams = [u for u in state.upstreams.values() if u.service == service]
         sessions = {
             u.upstream: u.session
@@ -117,12 +119,19 @@
         def is_orphaned(holding: Holding) -> bool:
             return holding.session in gone or state.is_orphaned(holding)
 
+        orphans = table.slots_where(is_orphaned) if sessions else []
+        # Loads change slowly, and a plan takes milliseconds of the leader's time,
+        # so that only orphaned slots are planned in every tick.
+        last = self._planned_at.get(service)
+        if not orphans and last is not None and now - last < REBALANCE_EVERY_S:
+            return []
+        self._planned_at[service] = now
         moves = planner.plan(
             table,
             loads.upstream_loads(upstreams, set(sessions), now),
             loads.slot_loads(upstreams, now),
             now,
-            table.slots_where(is_orphaned),
+            orphans,
         )
         commands: list[Command] = []
         assignments = _assignments(moves, sessions)
@@ -133,6 +142,13 @@
             commands.append(CloseSlots(service, closing, at))
         return commands
 
+    def _planner(self, service: ServiceName) -> Planner:
+        planner = self.planners.get(service)
+        if planner is None:
+            planner = Planner(self.weights, self.limits)
+            self.planners[service] = planner
+        return planner
+
     def _remove_drained(
         self, state: CellState, gone: frozenset[SessionId], at: float
     ) -> Iterable[Command]:
@@ -163,12 +179,33 @@
             for session in state.sessions.values()
             if session.state == SessionState.OPEN and session.session not in gone
         ]
-        for session in live:
-            newest = _newest_peers(session)
-            peers = choose_peers(session, live, newest)
-            generation = max(session.generation, session.pending_generation)
-            if peers != newest or not generation:
-                yield SetJournalPeers(session.session, generation + 1, peers, at)
+        newest = {session.session: _newest_peers(session) for session in live}
+        if newest == self._settled_peers:
+            return []
+        commands = _peer_changes(live, newest, at)
+        # Hashing all pairs of sessions in every tick would take tens of
+        # milliseconds with 200 hosts.
+        self._settled_peers = None if commands else newest
+        return commands
+
+
+def _peer_changes(
+    live: Sequence[Session],
+    newest: Mapping[SessionId, tuple[SessionId, ...]],
+    at: float,
+) -> list[Command]:
+    zones = {session.session: session.zone for session in live}
+    commands: list[Command] = []
+    for session in live:
+        current = newest[session.session]
+        generation = max(session.generation, session.pending_generation)
+        peer_zones = {zones[peer] for peer in current if peer in zones}
+        if generation and len(peer_zones - {session.zone}) == PEER_COUNT:
+            continue
+        peers = choose_peers(session, live, current)
+        if peers != current or not generation:
+            commands.append(SetJournalPeers(session.session, generation + 1, peers, at))
+    return commands
 
 
 def _newest_peers(session: Session) -> tuple[SessionId, ...]:
