Hold requests at a router that has no configuration yet

A router that has just started listens before its first pull, and answered every request with 404 and code 3002 "unknown service" until then.

Seen: with a host killed and started again, 20 of 120 resent bookings got 404/3002 from the new process. Ruled out: a missing service document (other routers served the same requests) and a refused configuration (none was logged). Cause: the matcher of revision 0 knows no service, and its refusal was passed on. Now a request waits for the first configuration, at most 2 s, and is then refused as not run with code 3105.

--- a/src/sassafraswharf/router/request_reader.py
+++ b/src/sassafraswharf/router/request_reader.py
@@ -6,6 +6,7 @@
 
 from itertools import count
 from typing import TYPE_CHECKING
+from typing import Final
 
 from aiohttp import web
 from result import Err
@@ -30,6 +31,10 @@
     from sassafraswharf.transport.request_signer import RequestSigner
 
 
+CONFIGURATION_WAIT_S: Final = 2.0
+"""How long a request waits at a router that has not yet pulled a configuration."""
+
+
 class RequestReader:
     """Checks and classifies requests of callers and of other routers."""
 
@@ -50,8 +55,12 @@
     async def read(
         self, request: web.BaseRequest, *, hop: bool
     ) -> Result[Incoming, Failure]:
-        """Return the whole request, or a code from 3001 to 3006 or 3104."""
+        """Return the whole request, or a code from 3001 to 3006, 3104 or 3105."""
         arrived_at = self.clock.now()
+        if not await self.has_configuration(arrived_at + CONFIGURATION_WAIT_S):
+            return Err(
+                Failure(ResultCode.NO_UPSTREAM, "this router has no configuration yet")
+            )
         repeated = repeated_header(request.headers)
         if repeated is not None:
             return bad_request(f"header {repeated} occurs twice")
@@ -92,6 +101,19 @@
             )
         )
 
+    async def has_configuration(self, give_up_at: float) -> bool:
+        """Wait for the first configuration after the start.
+
+        Without it the router can't tell an unknown service from one that it
+        has not heard of, so code 3002 would mislead the caller.
+        """
+        while not self.view.revision:
+            remaining_s = give_up_at - self.clock.now()
+            if remaining_s <= 0:
+                return False
+            await self.view.changed.wait(remaining_s)
+        return True
+
     def authenticate(
         self, request: web.BaseRequest, body: bytes
     ) -> Result[str, Failure]:
