Let only the attempt that began a record conclude it

Two attempts of one idempotency key that waited for admission side by side were both told to run. The second found the intent of the first, was refused, and then recorded "not run" under the key, which belongs to the first one that was running. The next resend ran the booking again.

Seen: test_resends_that_queue_behind_their_first_attempt counted 2 runs of one key, and refusals with status 503 and code 0. Cause: the outcome was recorded by key, whether or not this attempt had begun. Now an attempt that was overtaken records nothing and looks the key up again, so it waits for the other attempt and returns its answer. After: 1 run, all attempts get the same answer.

--- a/src/sassafraswharf/router/journal_task.py
+++ b/src/sassafraswharf/router/journal_task.py
@@ -217,14 +217,17 @@
             request.idempotency_key or "",
         )
         digest = request.body_digest()
-        decision = await self.decide(key, digest, request.deadline_at)
-        if decision.decision is not Decision.RUN:
-            return from_decision(decision)
-        # A caller that leaves must not cut off the recording of the outcome.
-        task = asyncio.create_task(self.run_recorded(key, digest, request, run))
-        self.sends.add(task)
-        task.add_done_callback(self.sends.discard)
-        return await asyncio.shield(task)
+        while True:
+            decision = await self.decide(key, digest, request.deadline_at)
+            if decision.decision is not Decision.RUN:
+                return from_decision(decision)
+            # A caller that leaves must not cut off the recording of the outcome.
+            task = asyncio.create_task(self.run_recorded(key, digest, request, run))
+            self.sends.add(task)
+            task.add_done_callback(self.sends.discard)
+            result = await asyncio.shield(task)
+            if result is not None:
+                return result
 
     async def decide(
         self, key: JournalKey, digest: bytes, deadline_at: float
@@ -249,29 +252,40 @@
 
     async def run_recorded(
         self, key: JournalKey, digest: bytes, request: Incoming, run: Run
-    ) -> RunResult:
-        """Run with an intent recorded before, and the outcome afterwards."""
+    ) -> RunResult | None:
+        """Run with an intent recorded before, and the outcome afterwards.
+
+        Return None if another attempt of the key began while this one waited
+        for admission. The record then belongs to the other attempt: this one
+        must not conclude it and has to look the key up again.
+        """
         quorum = self.quorum
+        has_begun = overtaken = False
 
         async def before_dispatch() -> Answer | None:
+            nonlocal has_begun, overtaken
+            now = self.clock.now()
             if quorum is None or quorum is not self.quorum:
                 return refusal(not_recorded(ResultCode.NOT_OWNER))
-            return await self.record_intent(quorum, key, digest, request.deadline_at)
+            if quorum.lookup(key, digest, now).decision is not Decision.RUN:
+                overtaken = True
+                return refusal(not_recorded(ResultCode.NOT_RUN))
+            begun = quorum.begin(key, digest, request.deadline_at, now)
+            if isinstance(begun, Err):
+                return refusal(begun.err_value)
+            has_begun = True
+            return await self.await_intent(quorum, key, request.deadline_at)
 
         result = await run(before_dispatch)
-        if quorum is not None:
+        if quorum is not None and has_begun:
             await self.record_outcome(quorum, key, result)
-        return result
+        return None if overtaken else result
 
-    async def record_intent(
-        self, quorum: JournalQuorum, key: JournalKey, digest: bytes, deadline_at: float
+    async def await_intent(
+        self, quorum: JournalQuorum, key: JournalKey, deadline_at: float
     ) -> Answer | None:
-        """Record the intent; return a refusal when it does not count."""
-        now = self.clock.now()
-        begun = quorum.begin(key, digest, deadline_at, now)
-        if isinstance(begun, Err):
-            return refusal(begun.err_value)
-        code = await self.wait_for_event(key, deadline_at - now)
+        """Wait until the intent counts; return a refusal when it does not."""
+        code = await self.wait_for_event(key, deadline_at - self.clock.now())
         if code is None:
             quorum.abandon(key, self.clock.now())
             return refusal(not_recorded(ResultCode.DEADLINE_EXPIRED))
--- /dev/null
+++ b/tests/processes/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the promises with real processes on loopback."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/processes/fleet.py
@@ -0,0 +1,310 @@
+"""A deployment of real processes with callers that know what they were told."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+from collections import Counter
+from contextlib import asynccontextmanager
+from enum import Enum
+from enum import auto
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import NamedTuple
+
+import aiohttp
+
+from sassafraswharf.declare import deployment
+from sassafraswharf.declare import path_key
+from sassafraswharf.declare import placement
+from sassafraswharf.declare import service
+from sassafraswharf.declare import weights
+from sassafraswharf_bench.local_deployment import HostSpec
+from sassafraswharf_bench.local_deployment import LocalDeployment
+from sassafraswharf_bench.local_deployment import StandInSpec
+
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from collections.abc import Callable
+    from collections.abc import Mapping
+    from collections.abc import Sequence
+    from pathlib import Path
+
+
+WAIT_S = 30.0
+"""Upper limit of any wait; reaching it means that the event never comes."""
+CALL_TIMEOUT_S = 12.0
+HOSTS = (HostSpec("a", "z1"), HostSpec("b", "z2"), HostSpec("c", "z3"))
+KEYED, FREE = "diary", "deposit"
+FIXED = placement(moves_per_minute=1, minimum_benefit=1.0)
+"""No slot moves for the sake of balance, so that an owner stays one."""
+
+
+class Word(Enum):
+    """What an attempt told the caller about the run."""
+
+    ANSWER = auto()
+    NOT_RUN = auto()
+    UNKNOWN = auto()
+
+
+class Reply(NamedTuple):
+    """What came back; status 0 stands for no whole answer."""
+
+    status: int
+    code: int = -1
+    not_run: str = ""
+    fields: Mapping[str, str] = {}
+    body: bytes = b""
+
+    @property
+    def word(self) -> Word:
+        if self.status == 0 or self.code < 0:
+            return Word.UNKNOWN
+        if self.code == 0:
+            return Word.ANSWER
+        return Word.NOT_RUN if self.not_run else Word.UNKNOWN
+
+    @property
+    def content(self) -> Any:
+        return json.loads(self.body)
+
+
+def document(
+    weight: float = 6, services: Sequence[str] = (KEYED, FREE), *, moves: bool = True
+) -> Any:
+    """Return a configuration with a keyed service and one without a key."""
+    declared = [
+        service(
+            KEYED,
+            prefix="/diary",
+            key=path_key(0),
+            repeatable=["GET /*"],
+            at_most_once=["POST /*"],
+            slot_count=64,
+            deadline_s=5.0,
+            admit="any",
+        ),
+        service(
+            FREE,
+            prefix="/deposit",
+            key=None,
+            repeatable=["GET /*"],
+            at_most_once=["POST /*/deposits"],
+            slot_count=64,
+            deadline_s=5.0,
+            admit="any",
+        ),
+    ]
+    return deployment(
+        weights=weights(unavailable=weight, imbalance=2, churn=2),
+        placement=None if moves else FIXED,
+        services=[one for one in declared if one["name"] in services],
+    )
+
+
+class Fleet(LocalDeployment):
+    """A local deployment whose runs are counted across crashes."""
+
+    def __init__(
+        self,
+        folder: Path,
+        hosts: Sequence[HostSpec] = HOSTS,
+        flags: Sequence[str] = (),
+        services: Sequence[str] = (KEYED, FREE),
+        *,
+        moves: bool = False,
+    ) -> None:
+        super().__init__(folder, hosts)
+        self.stand_ins = {
+            f"{name}-{host.name}": StandInSpec(
+                f"{name}-{host.name}",
+                name,
+                host.name,
+                (
+                    "--service-ms=15",
+                    "--distribution=fixed",
+                    "--no-checks-grants" if name == FREE else "--checks-grants",
+                    f"--runs-file={folder / f'runs-{name}-{host.name}'}",
+                    *flags,
+                ),
+            )
+            for name in services
+            for host in hosts
+            if host.router
+        }
+        self.document = document(services=services, moves=moves)
+        self.callers: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self) -> Fleet:
+        await super().__aenter__()
+        self.callers = self.create_callers()
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        if self.callers is not None:
+            await self.callers.close()
+        await super().__aexit__(*error)
+
+    def create_callers(self) -> aiohttp.ClientSession:
+        """Return a client that never sends a request twice by itself."""
+        connector = aiohttp.TCPConnector(limit=0, force_close=True)
+        session = aiohttp.ClientSession(
+            connector=connector, headers={"Accept-Encoding": "identity"}
+        )
+        session._retry_connection = False
+        return session
+
+    async def begin(self) -> None:
+        """Start everything and wait until every slot has a ready owner."""
+        await self.start_hosts()
+        applied = await self.apply(self.document, "first")
+        assert applied["code"] == 0, applied
+        await asyncio.gather(*map(self.start_stand_in, self.stand_ins.values()))
+        await self.wait_until_settled()
+
+    async def wait_until_settled(self) -> Any:
+        """Wait until all slots are owned and at-most-once requests are served."""
+        return await self.wait_until("owners", is_settled, WAIT_S)
+
+    def beside(self, host: str) -> list[str]:
+        """Return the stand-ins beside a host."""
+        return [spec.name for spec in self.stand_ins.values() if spec.host == host]
+
+    async def restart(self, host: str) -> None:
+        """Start what has ended of a host and its stand-ins."""
+        if self.processes[host].returncode is not None:
+            await self.start_hosts(host)
+        for name in self.beside(host):
+            if self.processes[name].returncode is not None:
+                await self.start_stand_in(self.stand_ins[name])
+
+    async def call(
+        self,
+        host: str,
+        method: str,
+        path: str,
+        idempotency_key: str | None = None,
+        timeout_s: float = CALL_TIMEOUT_S,
+        fields: Mapping[str, str] | None = None,
+    ) -> Reply:
+        """Send one request as a caller would; nothing is repeated."""
+        return await self.send(
+            f"{self.public_url(host)}{path}", method, idempotency_key, timeout_s, fields
+        )
+
+    async def send(
+        self,
+        url: str,
+        method: str,
+        idempotency_key: str | None = None,
+        timeout_s: float = CALL_TIMEOUT_S,
+        fields: Mapping[str, str] | None = None,
+    ) -> Reply:
+        """Send one request to an address."""
+        assert self.callers is not None
+        sent = dict(fields or {})
+        if idempotency_key is not None:
+            sent["Idempotency-Key"] = idempotency_key
+        try:
+            async with (
+                asyncio.timeout(timeout_s),
+                self.callers.request(method, url, headers=sent) as response,
+            ):
+                body = await response.read()
+        except aiohttp.ClientConnectorError:
+            return Reply(503, 3101, "attempt")  # no connection, so nothing was sent
+        except (aiohttp.ClientError, TimeoutError):
+            return Reply(0)
+        code = int(response.headers.get("Sassafraswharf-Code", "-1"))
+        not_run = response.headers.get("Sassafraswharf-Not-Run", "")
+        return Reply(response.status, code, not_run, response.headers, body)
+
+    async def until_answered(self, host: str, path: str) -> Reply:
+        """Look a key up until it is answered."""
+        async with asyncio.timeout(WAIT_S):
+            while True:
+                reply = await self.call(host, "GET", path)
+                if reply.word is Word.ANSWER:
+                    return reply
+                await asyncio.sleep(0.02)
+
+    async def owner(self, key: str, service_name: str = KEYED) -> Any:
+        """Return what the leader says of the owner of a key."""
+        return await self.admin(f"explain?service={service_name}&key={key}")
+
+    async def key_of(self, accept: Callable[[Any], bool]) -> tuple[str, Any]:
+        """Return a key whose owner is accepted."""
+        for number in range(2_000):
+            owner = await self.owner(f"key-{number}")
+            if owner["live"] and not owner["closing"] and accept(owner):
+                return f"key-{number}", owner
+        raise AssertionError("no key has such an owner")
+
+    async def leader(self, field: str = "cell") -> str:
+        """Return the control host that leads the cell or the configuration."""
+
+        def named(status: Any) -> Any:
+            if field == "cell":
+                return status["cells"][0]["leader"]
+            return status["configuration_leader"]
+
+        async with asyncio.timeout(WAIT_S):
+            while True:
+                for name, host in self.hosts.items():
+                    if not host.control or not self.is_running(name):
+                        continue
+                    _, status = await self.ask_admin(name, "status", None)
+                    address = None if status is None else named(status)
+                    if address and address == self.admin_url(name)[len("http://") :]:
+                        return name
+                await asyncio.sleep(0.05)
+
+    def is_running(self, name: str) -> bool:
+        """Return whether a process was started and has not ended."""
+        process = self.processes.get(name)
+        return process is not None and process.returncode is None
+
+    def runs(self) -> Counter[str]:
+        """Return how often each idempotency key has run on any stand-in."""
+        found: Counter[str] = Counter()
+        for path in self.folder.glob("runs-*"):
+            found.update(path.read_text().split())
+        return found
+
+    async def wait_in_flight(self, stand_in: str, count: int) -> None:
+        """Wait until a stand-in works on at least so many requests."""
+        async with asyncio.timeout(WAIT_S):
+            while True:
+                if (await self.state_of(stand_in))["in_flight"] >= count:
+                    return
+                await asyncio.sleep(0.01)
+
+    async def state_of(self, stand_in: str) -> Any:
+        """Return the counters of a stand-in."""
+        return await self.get(f"http://{self.addresses[stand_in]}/-/state")
+
+
+def is_settled(owners: Any) -> bool:
+    """Return whether every slot is owned and no takeover is pending."""
+    runs = [run for service in owners["services"] for run in service["runs"]]
+    return bool(runs) and all(
+        run["upstream"] and not run["sources"] and not run["closing"] for run in runs
+    )
+
+
+@asynccontextmanager
+async def fleet_of(
+    folder: Path,
+    hosts: Sequence[HostSpec] = HOSTS,
+    flags: Sequence[str] = (),
+    services: Sequence[str] = (KEYED, FREE),
+    *,
+    moves: bool = False,
+) -> AsyncIterator[Fleet]:
+    """Start a fleet and end it."""
+    async with Fleet(folder, hosts, flags, services, moves=moves) as fleet:
+        await fleet.begin()
+        yield fleet
--- /dev/null
+++ b/tests/processes/test_at_most_once.py
@@ -0,0 +1,211 @@
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from tests.processes.fleet import FREE
+from tests.processes.fleet import KEYED
+from tests.processes.fleet import Fleet
+from tests.processes.fleet import Reply
+from tests.processes.fleet import Word
+from tests.processes.fleet import fleet_of
+
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+    from pathlib import Path
+
+    Fault = Callable[[Fleet, str], Awaitable[None]]
+
+
+REQUESTS = 120
+CALLERS = 20
+FAULT_AFTER = 30
+RESENDS = 6
+FREEZE_S = 1.6
+"""Longer than the lease (0.95 s) and the recovery after it."""
+
+
+async def kill_host(fleet: Fleet, victim: str) -> None:
+    await fleet.kill(victim, *fleet.beside(victim))
+
+
+async def freeze(fleet: Fleet, *names: str) -> None:
+    for name in names:
+        fleet.signal(name, signal.SIGSTOP)
+    await asyncio.sleep(FREEZE_S)
+    for name in names:
+        fleet.signal(name, signal.SIGCONT)
+
+
+async def freeze_host(fleet: Fleet, victim: str) -> None:
+    await freeze(fleet, victim, *fleet.beside(victim))
+
+
+async def freeze_router(fleet: Fleet, victim: str) -> None:
+    await freeze(fleet, victim)
+
+
+async def stop_router(fleet: Fleet, victim: str) -> None:
+    assert await fleet.stop(victim) == 0
+
+
+async def kill_router(fleet: Fleet, victim: str) -> None:
+    await fleet.kill(victim)
+
+
+async def kill_upstreams(fleet: Fleet, victim: str) -> None:
+    await fleet.kill(*fleet.beside(victim))
+
+
+async def nothing(_fleet: Fleet, _victim: str) -> None:
+    """Leave the fault to the callers."""
+
+
+FAULTS: dict[str, tuple[Fault, float]] = {
+    "host killed": (kill_host, 0.1),
+    "host frozen": (freeze_host, 0.1),
+    "router frozen": (freeze_router, 0.1),
+    "router stopped as planned": (stop_router, 0.1),
+    "router killed": (kill_router, 0.1),
+    "upstreams killed": (kill_upstreams, 0.1),
+    "callers leave": (nothing, 0.6),
+}
+"""The fault and the share of attempts whose caller drops the connection."""
+
+
+class Request:
+    """A booking or deposit, and what its caller was told by each attempt."""
+
+    def __init__(self, number: int) -> None:
+        self.rng = random.Random(number)
+        service = KEYED if number % 2 else FREE
+        self.key = f"{service}-{number}"
+        self.path = f"/{KEYED}/k{number}"
+        if service == FREE:
+            self.path = f"/{FREE}/k{number}/deposits"
+        self.replies: list[Reply] = []
+        self.gives_up_early = number % 5 == 0
+
+    async def attempt(self, fleet: Fleet, leaves: float) -> Word:
+        host = self.rng.choice(list(fleet.hosts))
+        if self.rng.random() < leaves:
+            # Less and more than the service time of 15 ms.
+            reply = await fleet.call(
+                host, "POST", self.path, self.key, self.rng.uniform(0.002, 0.04)
+            )
+        else:
+            reply = await fleet.call(host, "POST", self.path, self.key)
+        self.replies.append(reply)
+        return reply.word
+
+    async def send(self, fleet: Fleet, leaves: float) -> None:
+        for _ in range(RESENDS):
+            word = await self.attempt(fleet, leaves)
+            if word is Word.ANSWER or (word is Word.NOT_RUN and self.gives_up_early):
+                return
+            await asyncio.sleep(self.rng.uniform(0.0, 0.3))
+
+    def broken_promise(self, runs: int) -> str:
+        words = [reply.word for reply in self.replies]
+        bodies = {reply.body for reply in self.replies if reply.word is Word.ANSWER}
+        told = f"{self.key}: {runs} runs; " + ", ".join(
+            f"{reply.status}/{reply.code}/{reply.not_run}" for reply in self.replies
+        )
+        if runs > 1:
+            return f"ran twice: {told}"
+        if bodies and runs != 1:
+            return f"answered but did not run: {told}"
+        if len(bodies) > 1:
+            return f"two answers: {told}"
+        # Without an unknown attempt, refusals of all attempts mean no run; the
+        # scope "key" speaks of all attempts at once (section 4.9 of the design).
+        all_refused = set(words) == {Word.NOT_RUN}
+        if runs and (all_refused or self.replies[-1].not_run == "key"):
+            return f"refused as not run, but ran: {told}"
+        misled = {reply.code for reply in self.replies} & {3002, 3005, 3006}
+        if misled:
+            return f"the service is declared and the key is its own: {told}"
+        return ""
+
+
+@pytest.mark.parametrize("name", FAULTS)
+def test_runs_at_most_once_and_as_told(name: str, tmp_path: Path) -> None:
+    """Guards against a booking that runs twice, or contrary to the last word."""
+    fault, leaves = FAULTS[name]
+
+    async def scenario() -> tuple[list[Request], dict[str, int]]:
+        async with fleet_of(tmp_path, moves=True) as fleet:
+            victim = (await fleet.owner("k1"))["host"]
+            requests = [Request(number) for number in range(REQUESTS)]
+            pending = iter(requests)
+            done = asyncio.Semaphore(0)
+
+            async def caller() -> None:
+                for request in pending:
+                    await request.send(fleet, leaves)
+                    done.release()
+
+            callers = [asyncio.create_task(caller()) for _ in range(CALLERS)]
+            for _ in range(FAULT_AFTER):
+                await done.acquire()
+            await fault(fleet, victim)
+            await asyncio.gather(*callers)
+            await fleet.restart(victim)
+            await fleet.wait_until_settled()
+            late = [request for request in requests if not request.gives_up_early]
+            await asyncio.gather(*(request.attempt(fleet, 0.0) for request in late))
+            return requests, fleet.runs()
+
+    requests, runs = asyncio.run(scenario())
+    broken = [request.broken_promise(runs[request.key]) for request in requests]
+    assert not any(broken), "\n".join(filter(None, broken))
+    answered = [
+        request
+        for request in requests
+        if any(reply.word is Word.ANSWER for reply in request.replies)
+    ]
+    # A system that refuses everything would keep the promise, too.
+    assert len(answered) >= REQUESTS // 2
+
+
+def test_resends_that_queue_behind_their_first_attempt(tmp_path: Path) -> None:
+    """Guards against a resend that ends the attempt it waits behind as not run.
+
+    All slots of the upstream are taken, so that the attempts of one key wait
+    side by side. The slots become free one after the other, so that the second
+    attempt is admitted while the first one runs.
+    """
+    flags = ("--slots=2", "--service-ms=900")
+
+    async def scenario() -> tuple[list[Reply], int]:
+        async with fleet_of(tmp_path, flags=flags, services=(KEYED,)) as fleet:
+            owner = await fleet.owner("same")
+            blockers = []
+            for number in (1, 2):
+                lookup = fleet.call(owner["host"], "GET", "/diary/same")
+                blockers.append(asyncio.create_task(lookup))
+                await fleet.wait_in_flight(owner["upstream"], number)
+                await asyncio.sleep(0.3)
+
+            def book(host: str) -> asyncio.Task[Reply]:
+                call = fleet.call(host, "POST", "/diary/same", "same-booking")
+                return asyncio.create_task(call)
+
+            attempts = [book(host) for host in (*fleet.hosts, *fleet.hosts)]
+            await asyncio.gather(*blockers)
+            await asyncio.sleep(0.1)
+            attempts += [book(host) for host in fleet.hosts]
+            replies = await asyncio.gather(*attempts)
+            return replies, fleet.runs()["same-booking"]
+
+    replies, runs = asyncio.run(scenario())
+    assert runs == 1, replies
+    assert {(reply.status, reply.code) for reply in replies} == {(200, 0)}
+    assert len({reply.body for reply in replies}) == 1
