Let recorded attempts end before a planned stop closes the session

A planned stop waited for the callers of the host only. A booking whose caller had left was cut off at the upstream, after the session was closed.

Ruled out: the closing of kept connections (the 16 other requests were answered). Cause: such an attempt has no active request at the HTTP servers. Now the stop waits for it as well. After: none is cancelled, and a resend gets the recorded answer.

--- a/src/sassafraswharf/router/journal_task.py
+++ b/src/sassafraswharf/router/journal_task.py
@@ -82,6 +82,7 @@
         self.changed = ChangeSignal()
         self.outcomes: dict[JournalKey, asyncio.Future[ResultCode]] = {}
         self.sends: set[asyncio.Task[Any]] = set()
+        self.recorded: set[asyncio.Task[RunResult | None]] = set()
         self.paused_until: dict[SessionId, float] = {}
         self.task: asyncio.Task[None] | None = None
 
@@ -89,9 +90,20 @@
         """Start to repeat lost batches and to expire attempts."""
         self.task = asyncio.create_task(self.run())
 
+    async def drain(self, timeout_s: float) -> bool:
+        """Wait until all attempts have ended; return False after ``timeout_s``.
+
+        An attempt goes on when its caller has left, so the HTTP servers do not
+        count it among their active requests.
+        """
+        if not self.recorded:
+            return True
+        _, pending = await asyncio.wait(self.recorded, timeout=timeout_s)
+        return not pending
+
     async def stop(self) -> None:
         """Stop all exchanges."""
-        tasks = [*self.sends]
+        tasks: list[asyncio.Task[Any]] = [*self.sends, *self.recorded]
         if self.task is not None:
             tasks.append(self.task)
         for task in tasks:
@@ -223,8 +235,8 @@
                 return from_decision(decision)
             # A caller that leaves must not cut off the recording of the outcome.
             task = asyncio.create_task(self.run_recorded(key, digest, request, run))
-            self.sends.add(task)
-            task.add_done_callback(self.sends.discard)
+            self.recorded.add(task)
+            task.add_done_callback(self.recorded.discard)
             result = await asyncio.shield(task)
             if result is not None:
                 return result
--- a/src/sassafraswharf/router/router_part.py
+++ b/src/sassafraswharf/router/router_part.py
@@ -162,6 +162,7 @@
         await self.public.stop_accepting()
         finished = await self.public.drain(DRAIN_TIMEOUT_S)
         finished = await self.internal.drain(DRAIN_TIMEOUT_S) and finished
+        finished = await self.journal.drain(DRAIN_TIMEOUT_S) and finished
         if not finished:
             logging.warning("requests were still in flight after %s s", DRAIN_TIMEOUT_S)
         await self.link.stop()
--- /dev/null
+++ b/tests/processes/test_ownership.py
@@ -0,0 +1,199 @@
+from __future__ import annotations
+
+import asyncio
+import signal
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+import pytest
+
+from tests.processes.fleet import FREE
+from tests.processes.fleet import HOSTS
+from tests.processes.fleet import KEYED
+from tests.processes.fleet import WAIT_S
+from tests.processes.fleet import Fleet
+from tests.processes.fleet import Reply
+from tests.processes.fleet import Word
+from tests.processes.fleet import fleet_of
+
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+
+SLOW = ("--service-ms=1500", "--slots=30")
+
+
+async def others_of(fleet: Fleet, host: str) -> list[str]:
+    return [name for name in fleet.hosts if name != host]
+
+
+async def ask_under(fleet: Fleet, stand_in: str, slot: int, epoch: int) -> Reply:
+    """Send a request to a stand-in as a router with an old epoch would."""
+    fields = {
+        "Sassafraswharf-Slot": str(slot),
+        "Sassafraswharf-Epoch": str(epoch),
+        "Sassafraswharf-Deadline-Ms": "5000",
+    }
+    url = f"http://{fleet.addresses[stand_in]}/diary/any"
+    return await fleet.send(url, "POST", f"old-{stand_in}", fields=fields)
+
+
+def test_a_frozen_owner_serves_nothing_after_it_has_lost_its_keys(
+    tmp_path: Path,
+) -> None:
+    """Guards against two owners of a key after a freeze beyond the lease.
+
+    Requests reach the frozen router before it resumes, so that it would serve
+    them first of all if it trusted its lease without looking at the clock.
+    """
+
+    async def scenario() -> None:
+        async with fleet_of(tmp_path, services=(KEYED,)) as fleet:
+            cell_leader = await fleet.leader()
+            key, old = await fleet.key_of(lambda owner: owner["host"] != cell_leader)
+            victim, path = old["host"], f"/diary/{key}"
+            before = await fleet.until_answered(cell_leader, path)
+            assert before.content["epoch"] == old["epoch"]
+            fleet.signal(victim, signal.SIGSTOP)
+            waiting = [
+                asyncio.create_task(fleet.call(victim, "POST", path, f"late-{number}"))
+                for number in range(20)
+            ]
+            await fleet.wait_until(
+                f"explain?service=diary&key={key}",
+                lambda owner: owner["host"] not in {None, victim},
+                WAIT_S,
+            )
+            after = await fleet.until_answered(cell_leader, path)
+            assert after.content["upstream"] != old["upstream"]
+            assert after.content["epoch"] > old["epoch"]
+            fleet.signal(victim, signal.SIGCONT)
+            late = await asyncio.gather(*waiting)
+            direct = [await fleet.call(victim, "GET", path) for _ in range(20)]
+            answered = [r for r in (*late, *direct) if r.word is Word.ANSWER]
+            assert answered
+            for reply in answered:
+                assert reply.content["epoch"] >= after.content["epoch"]
+            runs = fleet.runs()
+            for number, reply in enumerate(late):
+                assert runs[f"late-{number}"] == (reply.word is Word.ANSWER), reply
+            new = after.content["upstream"]
+            refused = await ask_under(fleet, new, old["slot"], old["epoch"])
+            assert refused.status == 409
+            assert not fleet.runs()[f"old-{new}"]
+
+    asyncio.run(scenario())
+
+
+async def start_slow(
+    fleet: Fleet, host: str, path: str, count: int
+) -> list[asyncio.Task[Reply]]:
+    """Start lookups and bookings that take longer than the fault lasts."""
+    return [
+        asyncio.create_task(
+            fleet.call(host, "POST", path, f"slow-{host}-{number}")
+            if number % 2
+            else fleet.call(host, "GET", path)
+        )
+        for number in range(count)
+    ]
+
+
+def test_a_planned_stop_cuts_nothing_off(tmp_path: Path) -> None:
+    """Guards against answers lost in a planned stop, and a wait for the lease.
+
+    The caller of one booking leaves before the stop. Nobody waits for its answer
+    at this host any more, but the booking still has to end and to be recorded.
+    """
+
+    async def scenario() -> None:
+        async with fleet_of(tmp_path, flags=SLOW, services=(KEYED,)) as fleet:
+            cell_leader = await fleet.leader()
+            key, owner = await fleet.key_of(lambda one: one["host"] != cell_leader)
+            victim, path = owner["host"], f"/diary/{key}"
+            calls = await start_slow(fleet, victim, path, 8)
+            calls += await start_slow(fleet, cell_leader, path, 8)
+            await fleet.wait_in_flight(owner["upstream"], 16)
+            await asyncio.sleep(0.5)
+            left = asyncio.create_task(fleet.call(victim, "POST", path, "left"))
+            await fleet.wait_in_flight(owner["upstream"], 17)
+            left.cancel()
+            assert await fleet.stop(victim) == 0
+            status = await fleet.admin("status")
+            live = {row["host"] for row in status["hosts"] if row["session"]}
+            # The session is closed by the time the process has ended, so the
+            # slots move although the lease would still be valid.
+            assert victim not in live
+            replies = await asyncio.gather(*calls)
+            assert [(r.status, r.code) for r in replies] == [(200, 0)] * 16
+            counts = (await fleet.state_of(owner["upstream"]))["counts"]
+            assert counts.get("cancelled", 0) == 0
+            assert fleet.runs()["left"] == 1
+            again = await fleet.until_answered(cell_leader, path)
+            assert again.content["upstream"] != owner["upstream"]
+            resent = await fleet.call(cell_leader, "POST", path, "left")
+            assert resent.word is Word.ANSWER
+            assert fleet.runs()["left"] == 1
+
+    asyncio.run(scenario())
+
+
+async def busiest(fleet: Fleet) -> str:
+    """Return the stand-in that works on the most requests, once one works."""
+    async with asyncio.timeout(WAIT_S):
+        while True:
+            states = {name: await fleet.state_of(name) for name in fleet.stand_ins}
+            name = max(states, key=lambda name: int(states[name]["in_flight"]))
+            if states[name]["in_flight"]:
+                return name
+            await asyncio.sleep(0.01)
+
+
+DRAINS = {KEYED: SLOW, FREE: ("--service-ms=400", "--slots=30")}
+"""An upstream that does not check grants must answer within the lease."""
+
+
+@pytest.mark.parametrize("service", DRAINS)
+def test_a_drained_upstream_gets_no_new_work(service: str, tmp_path: Path) -> None:
+    """Guards against new work for a leaving upstream, and cut-off requests."""
+    flags = DRAINS[service]
+
+    async def scenario() -> None:
+        async with fleet_of(tmp_path, flags=flags, services=(service,)) as fleet:
+            paths = [f"/{service}/key-{number}" for number in range(24)]
+            calls = [
+                asyncio.create_task(fleet.call(HOSTS[number % 3].name, "GET", path))
+                for number, path in enumerate(paths)
+            ]
+            drained = await busiest(fleet)
+            reply = await fleet.admin(f"upstreams/{drained}/drain", {"actor": "op"})
+            assert reply["state"] == "draining"
+            await asyncio.sleep(2.0)
+            counted = (await fleet.state_of(drained))["counts"]
+            later = [
+                fleet.call(HOSTS[number % 3].name, "GET", path)
+                for number, path in enumerate(paths)
+            ]
+            replies = await asyncio.gather(*calls, *later)
+            assert [(r.status, r.code) for r in replies] == [(200, 0)] * 48
+            served = {r.content["upstream"] for r in replies[24:]}
+            assert drained not in served
+
+            def is_gone(found: Any) -> bool:
+                return any(
+                    row["upstream"] == drained
+                    and row["state"] == "gone"
+                    and row["owned_slots"] == 0
+                    for row in found["upstreams"]
+                )
+
+            await fleet.wait_until("upstreams", is_gone, WAIT_S)
+            state = await fleet.state_of(drained)
+            assert state["counts"].get("draining", 0) == 0
+            assert state["counts"]["run"] <= counted.get("run", 0) + 24
+            assert state["counts"].get("cancelled", 0) == 0
+            assert state["in_flight"] == 0
+
+    asyncio.run(scenario())
