--- a/src/sassafraswharf/journal/intent.py
+++ b/src/sassafraswharf/journal/intent.py
@@ -96,7 +96,7 @@
         return RECORD_OVERHEAD_BYTES + text + len(self.body_digest) + len(self.answer)
 
 
-RECORD_OVERHEAD_BYTES = 400
+RECORD_OVERHEAD_BYTES = 670
 """Objects, dictionary and heap entries of one record in CPython."""
 
 
--- a/src/sassafraswharf/journal/journal_store.py
+++ b/src/sassafraswharf/journal/journal_store.py
@@ -135,7 +135,10 @@
         while self.expiries and self.expiries[0][0] <= now:
             key = heappop(self.expiries)[1]
             recorded_at = self.recorded_at.get(key)
-            if recorded_at is None or recorded_at + KEEP_S > now:
+            if recorded_at is None:
+                continue
+            if recorded_at + KEEP_S > now:
+                heappush(self.expiries, (recorded_at + KEEP_S, key))
                 continue
             del self.recorded_at[key]
             records = self.slots[key[:2]]
@@ -191,6 +194,12 @@
             conflict = _conflict(known, record)
             if conflict is not None:
                 return conflict
+            # Decoded messages bring their own copies of the same texts.
+            record = record._replace(
+                service=known.service, idempotency_key=known.idempotency_key
+            )
+            if record.body_digest == known.body_digest:
+                record = record._replace(body_digest=known.body_digest)
         record = self._fitted(record, known)
         growth = record.size - (known.size if known is not None else 0)
         if known is None and self.bytes + growth > max_bytes:
@@ -199,6 +208,7 @@
         self.slots.setdefault(key[:2], {})[key] = record
         if known is None or known.precedence < record.precedence:
             self.recorded_at[key] = now - max(0.0, age_s)
+        if known is None:
             heappush(self.expiries, (self.recorded_at[key] + KEEP_S, key))
         return ResultCode.OK
 
