Keep headers of the system to the system whatever their case

Names of headers have no case, and several HTTP servers send them in lower case, but only "Sassafraswharf-" in this spelling was removed from requests and answers that are passed on.

Seen: end_to_end passed on 2 of 3 spellings, so that an upstream's error answer could reach a caller with a "not run" that the router never stated. Ruled out: forged epochs towards upstreams; aiohttp replaces them by the router's own (test_hostile_callers). After: none is passed on.

--- a/src/sassafraswharf/router/headers.py
+++ b/src/sassafraswharf/router/headers.py
@@ -10,7 +10,8 @@
     from collections.abc import Iterable
 
 
-PREFIX: Final = "Sassafraswharf-"
+PREFIX: Final = "sassafraswharf-"
+"""In lower case, since the names of headers have no case."""
 CODE: Final = "Sassafraswharf-Code"
 OWNER: Final = "Sassafraswharf-Owner"
 NOT_RUN: Final = "Sassafraswharf-Not-Run"
@@ -55,5 +56,5 @@
     return [
         (str(name), value)
         for name, value in headers
-        if name.lower() not in HOP_BY_HOP and not name.startswith(PREFIX)
+        if name.lower() not in HOP_BY_HOP and not name.lower().startswith(PREFIX)
     ]
--- /dev/null
+++ b/tests/router/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the router part."""
+
+from __future__ import annotations
