Refuse announcements whose address can't be connected to

Seen: the announcement of 127.0.0.1:99999 and of 1:2:3:80 was accepted and committed to the cell, which then had an upstream that no router can reach. Ruled out: the cell's own checks, which know nothing of addresses. Cause: the pattern of the address allows any port of five digits and any colons. After: 400 with code 3001, and the cell lists only the real upstreams.

--- a/src/sassafraswharf/router/announcement.py
+++ b/src/sassafraswharf/router/announcement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from ipaddress import ip_address
 from typing import TYPE_CHECKING
 from typing import Annotated
 from typing import TypedDict
@@ -24,6 +25,7 @@
     str, msgspec.Meta(pattern=r"^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}\Z", max_length=64)
 ]
 MAX_ANNOUNCEMENT_BYTES = 4_096
+MAX_PORT = 65_535
 
 
 class Announcement(TypedDict):
@@ -48,6 +50,28 @@
 def read_announcement(body: bytes) -> Result[Announcement, Failure]:
     """Return the announcement, or 3001 with the field that is wrong."""
     try:
-        return Ok(msgspec.json.decode(body, type=Announcement))
+        announcement = msgspec.json.decode(body, type=Announcement)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         return Err(Failure(ResultCode.BAD_REQUEST, f"announcement: {error}"))
+    address = announcement["address"]
+    if not is_socket_address(address):
+        message = f"announcement: {address!r} is not an IP address with a port"
+        return Err(Failure(ResultCode.BAD_REQUEST, message))
+    return Ok(announcement)
+
+
+def is_socket_address(text: str) -> bool:
+    """Return whether a connection can be opened to ``ip:port`` or ``[ip]:port``.
+
+    >>> is_socket_address("10.0.0.1:8080"), is_socket_address("[::1]:8080")
+    (True, True)
+    >>> is_socket_address("10.0.0.1:70000"), is_socket_address("::1:8080")
+    (False, False)
+    """
+    host, _, port = text.rpartition(":")
+    is_bracketed = host.startswith("[") and host.endswith("]")
+    try:
+        address = ip_address(host[1:-1] if is_bracketed else host)
+    except ValueError:
+        return False
+    return is_bracketed == (address.version == 6) and 0 < int(port) <= MAX_PORT
