Answer malformed HTTP with a numbered code

Seen: 10 kinds of malformed requests on the public and internal ports got the plain text of aiohttp without a code, up to 11 KB that repeat the input, and a traceback in the log for each. Cause: the HTTP parser refuses them before a handler is called. After: 400 with code 3001, or 3201 for a defect of a handler, and only defects are logged.

--- a/src/sassafraswharf/router/http_server.py
+++ b/src/sassafraswharf/router/http_server.py
@@ -13,6 +13,8 @@
 from sassafraswharf.codes import ResultCode
 from sassafraswharf.exceptions import TransportError
 from sassafraswharf.failure import Failure
+from sassafraswharf.router.answers import refusal
+from sassafraswharf.router.answers import to_response
 
 
 if TYPE_CHECKING:
@@ -28,6 +30,8 @@
 KEEPALIVE_S: Final = 75.0
 MAX_LINE_BYTES: Final = 8_190
 BACKLOG: Final = 1_024
+FIRST_SERVER_ERROR: Final = 500
+MAX_REASON_CHARACTERS: Final = 100
 
 
 class GuardedProtocol(web.RequestHandler):
@@ -59,6 +63,29 @@
             self.start_head_timer()
         super().data_received(data)
 
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = FIRST_SERVER_ERROR,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Answer with a numbered code what aiohttp refuses or a handler raised.
+
+        The text of aiohttp repeats what the caller sent, so only its first line
+        is used. A malformed request is not logged: callers could fill the log.
+        """
+        if status >= FIRST_SERVER_ERROR:
+            super().handle_error(request, status, exc, message)
+            failure = Failure(ResultCode.OUTCOME_UNKNOWN, "the router failed")
+            return to_response(refusal(failure), "", close=True)
+        if request.writer.output_size > 0:
+            # A part of an answer is on its way, so the connection can only end.
+            raise ConnectionError("the answer has already begun")
+        reason = (message or "malformed request").partition("\n")[0]
+        failure = Failure(ResultCode.BAD_REQUEST, reason[:MAX_REASON_CHARACTERS])
+        return to_response(refusal(failure), "", close=True)
+
     def start_head_timer(self) -> None:
         """Close the connection unless a whole head arrives in time."""
         loop = asyncio.get_running_loop()
