Refuse targets with a malformed percent-encoding

Seen: /diary/k%zz, /diary/k%, /diary/k%ff and ?id=%g1 were answered with 200. The router kept such an escape as text or replaced it, while an upstream may refuse it or read another key. Ruled out: a second owner (the same text always gives the same slot).

--- a/src/sassafraswharf/router/request_reader.py
+++ b/src/sassafraswharf/router/request_reader.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import re
 
 from itertools import count
 from typing import TYPE_CHECKING
 from typing import Final
+from urllib.parse import unquote
 
 from aiohttp import web
 from result import Err
@@ -35,6 +37,9 @@
 """How long a request waits at a router that has not yet pulled a configuration."""
 
 
+MALFORMED_ESCAPE: Final = re.compile("%(?![0-9A-Fa-f]{2})")
+
+
 class RequestReader:
     """Checks and classifies requests of callers and of other routers."""
 
@@ -64,6 +69,8 @@
         repeated = repeated_header(request.headers)
         if repeated is not None:
             return bad_request(f"header {repeated} occurs twice")
+        if not is_well_encoded(request.raw_path):
+            return bad_request("the target has a malformed percent-encoding")
         raw_path, _, query = request.raw_path.partition("?")
         classified = self.view.matcher.classify(
             request.method, raw_path, query, request.headers
@@ -157,6 +164,26 @@
     return None
 
 
+def is_well_encoded(target: str) -> bool:
+    """Return whether all readers decode a target in the same way.
+
+    The path has to be UTF-8, because the key of a request is a text. A query is
+    passed on as it is, in any encoding.
+
+    >>> is_well_encoded("/diary/%C3%A9?q=%E9"), is_well_encoded("/diary/%E9")
+    (True, False)
+    """
+    if "%" not in target:
+        return True
+    if MALFORMED_ESCAPE.search(target):
+        return False
+    try:
+        unquote(target.partition("?")[0], errors="strict")
+    except UnicodeDecodeError:
+        return False
+    return True
+
+
 def is_usable(idempotency_key: str) -> bool:
     """Return whether a text can serve as an idempotency key."""
     short = 0 < len(idempotency_key) <= MAX_IDEMPOTENCY_KEY_CHARACTERS
