Count empty control messages instead of raising

Seen: each empty message on the control port raised RuntimeError in the callback of the receiving socket and left a traceback in the log. Messages behind it waited for the next wake-up. Ruled out: the authenticator, which is not reached. Cause: pynng 0.9 can't copy a message without content.

--- a/src/sassafraswharf/transport/mailbox.py
+++ b/src/sassafraswharf/transport/mailbox.py
@@ -177,6 +177,12 @@
                 data = self.listener.recv(block=False)
             except pynng.TryAgain:
                 return
+            except RuntimeError:
+                # pynng 0.9 fails to copy a message without content.
+                self.on_dropped(
+                    Failure(ResultCode.MESSAGE_MALFORMED, "a message without content")
+                )
+                continue
             except pynng.NNGException as error:
                 logging.error("control socket failed: %s", error)
                 return
