Report a lost upstream until the cell knows of it

A router that finds an upstream dead sends it nothing any more and reports it once, for at most 5 s. If the cell has no leader during this time, the slots stay with the dead process under the live session, and nothing is asked again.

Seen: with two of three control hosts and an upstream killed for 6 s, its keys were refused for 30 s after the control hosts were back, and would be until the upstream is started again. Ruled out: the session, which was renewed, and the planner, which saw an admitted upstream. After: the report is repeated with each reconciliation, and the keys are served by the other upstream.

--- a/src/sassafraswharf/router/local_upstreams.py
+++ b/src/sassafraswharf/router/local_upstreams.py
@@ -126,6 +126,8 @@
             self.release(upstream)
         for name, announcement in self.announced.items():
             self.pass_on(name, announcement)
+        for runner in self.service.runners.values():
+            self.report_lost(runner)
 
     def wanted(self) -> dict[UpstreamId, Upstream]:
         """Return the upstreams that this session serves."""
@@ -309,10 +311,20 @@
         runner.lost = True
         runner.withdraw()
         await runner.idle.wait()
-        self.propose(
-            f"lost {upstream.upstream}",
-            UpstreamLost(upstream.upstream, upstream.incarnation),
-        )
+        self.report_lost(runner)
+
+    def report_lost(self, runner: UpstreamRunner) -> None:
+        """Report a lost upstream; repeated until the view shows it as lost.
+
+        A single report would be lost with the leader, and the slots would stay
+        with the dead process as long as the lease of this host is renewed.
+        """
+        upstream = runner.upstream
+        if runner.lost and runner.idle.is_set():
+            self.propose(
+                f"lost {upstream.upstream}",
+                UpstreamLost(upstream.upstream, upstream.incarnation),
+            )
 
 
 async def close_when_idle(runner: UpstreamRunner) -> None:
--- a/tests/processes/test_control_hosts.py
+++ b/tests/processes/test_control_hosts.py
@@ -44,6 +44,8 @@
     HostSpec("e", "z2", control=False),
 )
 GROUPS = ("configuration", "cell-1")
+REPORT_S = 5.0
+"""How long a router repeats one command without an answer."""
 
 
 async def owners_of(fleet: Fleet) -> Any:
@@ -309,3 +311,25 @@
             assert await fleet.leader("configuration") != full
 
     asyncio.run(scenario())
+
+
+def test_an_upstream_lost_while_there_is_no_leader(tmp_path: Path) -> None:
+    """Guards against slots that stay with a dead upstream.
+
+    The router can't report the loss until control hosts are back, which takes
+    longer than it repeats one report.
+    """
+
+    async def scenario() -> None:
+        async with fleet_of(tmp_path, APART, services=(KEYED,)) as fleet:
+            _, owner = await fleet.key_of(lambda _: True)
+            await fleet.kill("c1", "c2", owner["upstream"])
+            # The lease is still valid, so that the router finds the dead upstream.
+            reply = await fleet.call(owner["host"], "GET", "/diary/key")
+            assert reply.word is Word.NOT_RUN
+            await asyncio.sleep(REPORT_S + 1.0)
+            await fleet.start_hosts("c1", "c2")
+            found = await fleet.until_answered("r1", "/diary/key")
+            assert found.content["upstream"] != owner["upstream"]
+
+    asyncio.run(scenario())
