--- a/src/sassafraswharf/router/crash_watch.py
+++ b/src/sassafraswharf/router/crash_watch.py
@@ -169,6 +169,11 @@
             self.deaths[key] = task
         await asyncio.wait([task])
 
+    def is_reported(self, upstream: Upstream) -> bool:
+        """Return whether the first report of a death has been made."""
+        task = self.deaths.get((upstream.upstream, upstream.incarnation))
+        return task is not None and task.done()
+
     async def commit_death(self, upstream: Upstream, runner: UpstreamRunner) -> None:
         """Commit the suspicion first, so that no new owner lacks it.
 
--- a/src/sassafraswharf/router/local_upstreams.py
+++ b/src/sassafraswharf/router/local_upstreams.py
@@ -13,6 +13,7 @@
 
 from sassafraswharf.cell.commands import AnnounceUpstream
 from sassafraswharf.cell.commands import SlotsReleased
+from sassafraswharf.cell.commands import UpstreamLost
 from sassafraswharf.identifiers import ServiceName
 from sassafraswharf.identifiers import UpstreamId
 from sassafraswharf.leases.holder import NO_SESSION
@@ -133,6 +134,8 @@
             self.release(upstream)
         for name, announcement in self.announced.items():
             self.pass_on(name, announcement)
+        for runner in self.service.runners.values():
+            self.report_lost(runner)
 
     def wanted(self) -> dict[UpstreamId, Upstream]:
         """Return the upstreams that this session serves."""
@@ -297,6 +300,19 @@
             )
             self.propose(f"release {upstream.upstream}", command)
 
+    def report_lost(self, runner: UpstreamRunner) -> None:
+        """Report a lost upstream; repeated until the view shows it as lost.
+
+        A single report would be lost with the leader, and the slots would stay
+        with the dead process as long as the lease of this host is renewed.
+        """
+        upstream = runner.upstream
+        if self.service.crashes.is_reported(upstream) and runner.idle.is_set():
+            self.propose(
+                f"lost {upstream.upstream}",
+                UpstreamLost(upstream.upstream, upstream.incarnation),
+            )
+
 
 async def close_when_idle(runner: UpstreamRunner) -> None:
     """Close the connections after the last request in flight has ended."""
