Blame a request for a crash only if the upstream's process has ended

Cause: an answer that was cut short by a living upstream was remembered as a crash for five seconds, so a second request of the kind was refused with 3109. Before: test_no_cut_answer_is_passed_on failed. After: it passes, and the four tests of crashing requests still do.

--- a/src/sassafraswharf/router/headers.py
+++ b/src/sassafraswharf/router/headers.py
@@ -27,6 +27,10 @@
 AUTHENTICATION: Final = "Sassafraswharf-Auth"
 IDEMPOTENCY_KEY: Final = "Idempotency-Key"
 
+FAILED: Final = "failed"
+CRASHED: Final = "crashed"
+"""Values of the upstream header in the answer of another router."""
+
 HOP_BY_HOP: Final = frozenset(
     {
         "connection",
--- a/src/sassafraswharf/router/request_path.py
+++ b/src/sassafraswharf/router/request_path.py
@@ -53,9 +53,6 @@
     {ResultCode.NOT_OWNER, ResultCode.LEASE_EXPIRED, ResultCode.SHUTTING_DOWN}
 )
 """Refusals that another owner, or the same one a little later, may not give."""
-CRASH_CODES: Final = frozenset(
-    {ResultCode.OUTCOME_UNKNOWN, ResultCode.ANSWER_INCOMPLETE}
-)
 NOT_SENT: Final = OUTCOMES[Exchange.NOTHING_SENT]
 ENDED: Final = frozenset({UpstreamState.LOST, UpstreamState.GONE})
 
@@ -66,6 +63,7 @@
     answer: Answer
     outcome: Outcome
     owner_address: str = ""
+    crashed: bool = False
 
 
 class RequestPath:
@@ -112,7 +110,7 @@
             self.note_crash(request, attempt)
             if not await self.tries_again(request, attempt, budget, hold_until):
                 return final(attempt)
-            if attempt.outcome.kind is OutcomeKind.MAY_HAVE_RUN:
+            if attempt.crashed:
                 request = request._replace(solo=True)
 
     async def serve_hop(self, request: Incoming, upstream: UpstreamId) -> RunResult:
@@ -150,8 +148,7 @@
 
         A resend may come before the table with the suspicion.
         """
-        outcome = attempt.outcome
-        if outcome.upstream_failed and outcome.code in CRASH_CODES:
+        if attempt.crashed:
             self.local.crashes.note_elsewhere(request.digest, alone=request.solo)
 
     async def attempt_any(self, request: Incoming) -> Attempt:
@@ -207,7 +204,7 @@
         result = await self.local.serve(request, upstream, ownership)
         outcome = outcome_of(result.answer, result.kind, failed=result.upstream_failed)
         address = self.local.public_address if ownership is not None else ""
-        return Attempt(result.answer, outcome, address)
+        return Attempt(result.answer, outcome, address, result.crashed)
 
     async def attempt_there(
         self, request: Incoming, upstream: UpstreamId, session: Session
@@ -310,14 +307,15 @@
     not_run = http.headers.get(headers.NOT_RUN, "")
     fields = headers.end_to_end(http.headers.items())
     answer = Answer(code, http.status, fields, http.body, not_run)
-    failed = headers.UPSTREAM in http.headers
+    upstream = http.headers.get(headers.UPSTREAM, "")
     kind = OutcomeKind.ANSWER
     if code != ResultCode.OK:
         kind = OutcomeKind.NOT_RUN if not_run else OutcomeKind.MAY_HAVE_RUN
     return Attempt(
         answer,
-        outcome._replace(kind=kind, code=code, upstream_failed=failed),
+        outcome._replace(kind=kind, code=code, upstream_failed=bool(upstream)),
         owner_address,
+        upstream == headers.CRASHED,
     )
 
 
--- a/src/sassafraswharf/router/router_part.py
+++ b/src/sassafraswharf/router/router_part.py
@@ -213,8 +213,10 @@
         upstream = UpstreamId(request.headers.get(headers.UPSTREAM, ""))
         result = await self.path.serve_hop(incoming.ok_value, upstream)
         response = to_response(result.answer, "", close=self.local.stopping)
-        if result.upstream_failed:
-            response.headers[headers.UPSTREAM] = "failed"
+        if result.crashed:
+            response.headers[headers.UPSTREAM] = headers.CRASHED
+        elif result.upstream_failed:
+            response.headers[headers.UPSTREAM] = headers.FAILED
         return response
 
     async def on_journal(self, request: web.BaseRequest) -> web.StreamResponse:
--- a/src/sassafraswharf/router/upstream_runner.py
+++ b/src/sassafraswharf/router/upstream_runner.py
@@ -65,11 +65,15 @@
 
 
 class RunResult(NamedTuple):
-    """The answer for the caller and what is known about the run."""
+    """The answer for the caller and what is known about the run.
+
+    ``crashed`` tells that the process of the upstream ended meanwhile.
+    """
 
     answer: Answer
     kind: OutcomeKind
     upstream_failed: bool = False
+    crashed: bool = False
 
 
 class UpstreamRunner:
@@ -137,7 +141,8 @@
         )
         if exchange in MAYBE_CRASHED:
             await self.crashes.connection_lost(self, request.request_id)
-        elif result.upstream_failed:
+            return result._replace(crashed=self.lost)
+        if result.upstream_failed:
             self.crashes.probe(self)
         return result
 
