Drop an answer to a lookup that comes after the slot was lost

An answer of an upstream or router that was frozen could tell an old state of the key. It is dropped and the lookup is sent to the new owner, within the retry budget; the answer to an at-most-once request stays true and is kept.

--- a/src/sassafraswharf/router/local_service.py
+++ b/src/sassafraswharf/router/local_service.py
@@ -133,13 +133,28 @@
                 return False
             return ownership is None or self.still_owns(upstream, ownership)
 
+        def is_current() -> bool:
+            if ownership is None:
+                return True
+            if not self.holder.is_valid(self.clock.now()):
+                return False
+            return self.holder.session == session and self.has_epoch(
+                upstream, ownership
+            )
+
         return Permit(
             0 if ownership is None else ownership.epoch,
             NO_SLOT if ownership is None else ownership.slot,
             lambda: self.holder.expires_at,
             is_valid,
+            is_current,
         )
 
+    def has_epoch(self, upstream: UpstreamId, ownership: Ownership) -> bool:
+        """Return whether the slot was not assigned anew since the permit."""
+        service = self.view.upstreams[upstream].service
+        return self.view.tables[service].epoch(ownership.slot) == ownership.epoch
+
     def still_owns(self, upstream: UpstreamId, ownership: Ownership) -> bool:
         """Return whether the slot has the owner and epoch of the permit."""
         service = self.view.upstreams[upstream].service
--- a/src/sassafraswharf/router/upstream_runner.py
+++ b/src/sassafraswharf/router/upstream_runner.py
@@ -55,13 +55,15 @@
     """Why a request may be dispatched, checked right before it is sent.
 
     ``lease_expires_at`` is when the right ends; ``is_valid`` re-checks slot and
-    session after the request has waited.
+    session after the request has waited. ``is_current`` tells, when the answer
+    has come, whether the slot was this host's all the time.
     """
 
     epoch: int
     slot: int
     lease_expires_at: Callable[[], float]
     is_valid: Callable[[], bool]
+    is_current: Callable[[], bool]
 
 
 class RunResult(NamedTuple):
@@ -175,6 +177,8 @@
                 exchange = Exchange.NOTHING_SENT
                 return RunResult(http, OutcomeKind.NOT_RUN), exchange
             exchange = http.exchange
+            if self.is_stale(request, permit, exchange):
+                return self.stale_answer(), exchange
             return self.result(http, OUTCOMES[exchange]), exchange
         finally:
             if exchange in MAYBE_CRASHED:
@@ -252,6 +256,24 @@
             request.classification.max_body_bytes,
         )
 
+    def is_stale(self, request: Incoming, permit: Permit, exchange: Exchange) -> bool:
+        """Return whether another owner may have changed what was looked up.
+
+        The answer to an at-most-once request stays true: it tells of a run
+        that began under a valid lease.
+        """
+        if exchange is not Exchange.ANSWERED or not request.classification.repeatable:
+            return False
+        return not permit.is_current()
+
+    def stale_answer(self) -> RunResult:
+        """Return the result of a lookup whose answer came too late."""
+        name = self.upstream.upstream
+        failure = Failure(
+            ResultCode.OUTCOME_UNKNOWN, f"{name} answered after it had lost the slot"
+        )
+        return RunResult(refusal(failure), OutcomeKind.MAY_HAVE_RUN, True)
+
     def result(self, http: HttpAnswer, outcome: Outcome) -> RunResult:
         """Return the answer of the upstream, or what is known instead."""
         if outcome.kind is OutcomeKind.ANSWER:
