--- a/examples/comhairle/deployment.py
+++ b/examples/comhairle/deployment.py
@@ -11,7 +11,7 @@
 
 CATALOGUE_AND_DIARY = service(
     "catalogue-diary",
-    prefix="/branches",
+    prefix="/magicians",
     key=path_key(0),
     repeatable=["GET /*/catalogue/**", "GET /*/diary", "PUT /*/diary/*"],
     at_most_once=["POST /*/diary"],
--- a/examples/nilebridge/deployment.py
+++ b/examples/nilebridge/deployment.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from sassafraswharf.declare import deployment
-from sassafraswharf.declare import header_key
+from sassafraswharf.declare import path_key
 from sassafraswharf.declare import print_configuration
 from sassafraswharf.declare import service
 from sassafraswharf.declare import weights
@@ -12,9 +12,9 @@
 COUNTER_TICKETS = service(
     "counter-tickets",
     prefix="/tickets",
-    key=header_key("X-Counter"),
-    repeatable=["GET /**"],
-    at_most_once=["POST /", "POST /*/call"],
+    key=path_key(0),
+    repeatable=["GET /*", "GET /*/**", "PUT /*/stage"],
+    at_most_once=["POST /*/jobs"],
     deadline_s=2.0,
     admit="any",
 )
--- a/src/sassafraswharf/control/admin_views.py
+++ b/src/sassafraswharf/control/admin_views.py
@@ -17,6 +17,7 @@
 if TYPE_CHECKING:
     from sassafraswharf.configuration.history import RevisionRecord
     from sassafraswharf.consensus.group_task import GroupTask
+    from sassafraswharf.consensus.progress import Progress
     from sassafraswharf.control.control_part import ControlPart
     from sassafraswharf.identifiers import GroupId
     from sassafraswharf.identifiers import ReplicaId
@@ -247,7 +248,7 @@
         "sources": list(owner.sources),
         "live": live,
         "reason": reason(control, owner.upstream, owner.slot, closing=owner.closing),
-        "last_change": last_change(control, owner.epoch),
+        **last_change(control, owner.epoch),
     }
 
 
@@ -262,12 +263,15 @@
     return f"{upstream} owns slot {slot} in {control.cell_name}"
 
 
-def last_change(control: ControlPart, epoch: int) -> Json | None:
-    """Return the audit entry of the command that made the present epoch."""
+def last_change(control: ControlPart, epoch: int) -> Json:
+    """Return when and how the present epoch began, while the trail holds it."""
     for entry in control.cell.trail.entries:
         if entry.revision == epoch:
-            return {"at": entry.at, "action": entry.action, "subject": entry.subject}
-    return None
+            return {
+                "owned_since_at": entry.at,
+                "last_change": f"{entry.action} {entry.subject}",
+            }
+    return {"owned_since_at": None, "last_change": None}
 
 
 def audit(control: ControlPart, group: GroupId, limit: int) -> Json:
@@ -315,6 +319,17 @@
     }
 
 
+def liveness(
+    group: GroupTask, progress: Progress | None, *, is_own: bool, now: float
+) -> bool | None:
+    """Return whether a replica answers; only the leader knows of the others."""
+    if is_own:
+        return True
+    if progress is None or not group.is_current_leader():
+        return None
+    return now - progress.contact_at < HEARD_S
+
+
 def members(name: GroupId, group: GroupTask) -> Json:
     """Return the members of one group, as far as this replica knows."""
     replica = group.replica
@@ -331,8 +346,7 @@
                 "replica": member,
                 "role": "voter" if member in group.voters.voters else "learner",
                 "match_index": match_index,
-                "live": is_own
-                or (progress is not None and now - progress.contact_at < HEARD_S),
+                "live": liveness(group, progress, is_own=is_own, now=now),
             }
         )
     return {
