--- a/src/sassafraswharf/router/answers.py
+++ b/src/sassafraswharf/router/answers.py
@@ -56,11 +56,6 @@
     body: bytes
     not_run: str = ""
 
-    @property
-    def is_refusal(self) -> bool:
-        """Whether the request was provably not run by this attempt."""
-        return bool(self.not_run)
-
 
 def refusal(
     failure: Failure, not_run: str = "attempt", retry_after_s: float | None = None
--- a/src/sassafraswharf/router/local_service.py
+++ b/src/sassafraswharf/router/local_service.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
-from typing import Final
 
 from sassafraswharf.codes import ResultCode
 from sassafraswharf.failure import Failure
@@ -11,7 +10,7 @@
 from sassafraswharf.quarantine.local_watch import Treatment
 from sassafraswharf.requests.outcome import OutcomeKind
 from sassafraswharf.router.answers import refusal
-from sassafraswharf.router.upstream_runner import Permit
+from sassafraswharf.router.permit import Permit
 from sassafraswharf.router.upstream_runner import RunResult
 
 
@@ -31,10 +30,6 @@
     from sassafraswharf.router.view import RouterView
 
 
-NO_SLOT: Final = -1
-"""The slot of a request that any upstream of its service may run."""
-
-
 class LocalService:
     """Checks that this router may serve a request, and runs it.
 
@@ -77,89 +72,43 @@
         which any upstream may run.
         """
         runner = self.runners.get(upstream)
-        failure = self.reason_to_refuse(runner, ownership)
+        failure = self.reason_to_refuse()
         if failure is not None or runner is None:
             return refused(failure or not_owner(upstream))
+        permit = Permit(runner, ownership, self.holder, self.view, self.clock)
+        if not permit.is_valid() or not self.is_granted(permit):
+            return refused(not_owner(upstream))
         treatment = self.crashes.treatment(request.digest)
         if treatment is Treatment.REFUSED:
             return refused(quarantined(request.digest))
         solo = request.solo or treatment is Treatment.ALONE
         if not request.is_journaled or ownership is None:
-            permit = self.permit(upstream, ownership)
             return await runner.run(request, permit, solo=solo)
 
         async def run(before_dispatch: BeforeDispatch) -> RunResult:
             return await runner.run(
-                request,
-                self.permit(upstream, ownership),
-                solo=solo,
-                before_dispatch=before_dispatch,
+                request, permit, solo=solo, before_dispatch=before_dispatch
             )
 
         return await self.journal.serve(request, ownership, run)
 
-    def reason_to_refuse(
-        self, runner: UpstreamRunner | None, ownership: Ownership | None
-    ) -> Failure | None:
-        """Return why no request may be served now, or ``None``."""
+    def reason_to_refuse(self) -> Failure | None:
+        """Return why this router may serve nothing now, or ``None``."""
         if self.stopping:
             return Failure(ResultCode.SHUTTING_DOWN, f"{self.host} is shutting down")
         if not self.holder.is_valid(self.clock.now()):
             return Failure(ResultCode.LEASE_EXPIRED, f"{self.host} has no valid lease")
-        if runner is None or runner.lost:
-            return not_owner("the upstream")
-        if ownership is None:
-            return None
-        if ownership.session != self.holder.session or ownership.closing:
-            return not_owner(ownership.upstream or "nobody")
-        name = runner.upstream.upstream
-        if runner.upstream.checks_grants and ownership.epoch > self.granted.get(
-            name, -1
-        ):
-            # The upstream would refuse the epoch until its grant has arrived.
-            return not_owner(name)
         return None
 
-    def permit(self, upstream: UpstreamId, ownership: Ownership | None) -> Permit:
-        """Return the right to dispatch, to be checked again when it is used."""
-        session = self.holder.session
-
-        def is_valid() -> bool:
-            valid = self.holder.is_valid(self.clock.now())
-            runner = self.runners.get(upstream)
-            if not valid or self.holder.session != session:
-                return False
-            if runner is None or runner.lost:
-                return False
-            return ownership is None or self.still_owns(upstream, ownership)
-
-        def is_current() -> bool:
-            if ownership is None:
-                return True
-            if not self.holder.is_valid(self.clock.now()):
-                return False
-            return self.holder.session == session and self.has_epoch(
-                upstream, ownership
-            )
+    def is_granted(self, permit: Permit) -> bool:
+        """Return whether the upstream knows the epoch of the permit.
 
-        return Permit(
-            0 if ownership is None else ownership.epoch,
-            NO_SLOT if ownership is None else ownership.slot,
-            lambda: self.holder.expires_at,
-            is_valid,
-            is_current,
-        )
-
-    def has_epoch(self, upstream: UpstreamId, ownership: Ownership) -> bool:
-        """Return whether the slot was not assigned anew since the permit."""
-        service = self.view.upstreams[upstream].service
-        return self.view.tables[service].epoch(ownership.slot) == ownership.epoch
-
-    def still_owns(self, upstream: UpstreamId, ownership: Ownership) -> bool:
-        """Return whether the slot has the owner and epoch of the permit."""
-        service = self.view.upstreams[upstream].service
-        current = self.view.tables[service].at(ownership.slot)
-        return current.epoch == ownership.epoch and not current.closing
+        One that checks grants refuses an epoch until its grant has arrived.
+        """
+        upstream = permit.runner.upstream
+        if not upstream.checks_grants:
+            return True
+        return permit.epoch <= self.granted.get(upstream.upstream, -1)
 
 
 def not_owner(upstream: str) -> Failure:
--- a/src/sassafraswharf/router/local_upstreams.py
+++ b/src/sassafraswharf/router/local_upstreams.py
@@ -22,7 +22,7 @@
 from sassafraswharf.router.freeze_watch import MAX_THAWS
 from sassafraswharf.router.freeze_watch import FreezeWatch
 from sassafraswharf.router.incoming import MAX_NESTED_DEPTH
-from sassafraswharf.router.local_service import NO_SLOT
+from sassafraswharf.router.permit import NO_SLOT
 from sassafraswharf.router.upstream_runner import UpstreamRunner
 
 
--- a/src/sassafraswharf/router/upstream_runner.py
+++ b/src/sassafraswharf/router/upstream_runner.py
@@ -35,6 +35,7 @@
     from sassafraswharf.router.crash_watch import CrashWatch
     from sassafraswharf.router.incoming import Incoming
     from sassafraswharf.router.incoming import RequestIds
+    from sassafraswharf.router.permit import Permit
 
     BeforeDispatch = Callable[[], Awaitable[Answer | None]]
 
@@ -51,21 +52,6 @@
 MAYBE_CRASHED: Final = frozenset({Exchange.CONNECTION_LOST, Exchange.CUT_SHORT})
 
 
-class Permit(NamedTuple):
-    """Why a request may be dispatched, checked right before it is sent.
-
-    ``lease_expires_at`` is when the right ends; ``is_valid`` re-checks slot and
-    session after the request has waited. ``is_current`` tells, when the answer
-    has come, whether the slot was this host's all the time.
-    """
-
-    epoch: int
-    slot: int
-    lease_expires_at: Callable[[], float]
-    is_valid: Callable[[], bool]
-    is_current: Callable[[], bool]
-
-
 class RunResult(NamedTuple):
     """The answer for the caller and what is known about the run.
 
@@ -230,7 +216,7 @@
         deadline_at = request.deadline_at
         if not self.upstream.checks_grants:
             # Nothing but the deadline stops such an upstream after the lease.
-            deadline_at = dispatch_deadline(deadline_at, permit.lease_expires_at())
+            deadline_at = dispatch_deadline(deadline_at, permit.lease_expires_at)
         timeout_s = deadline_at - now
         if timeout_s <= 0:
             return expired()
--- a/src/sassafraswharf/router/view.py
+++ b/src/sassafraswharf/router/view.py
@@ -5,10 +5,9 @@
 from typing import TYPE_CHECKING
 
 from result import Err
-from result import Ok
 
 from sassafraswharf.cell.view import CellView
-from sassafraswharf.configuration.validation import decode_document
+from sassafraswharf.configuration.revision_holder import RevisionHolder
 from sassafraswharf.membership.values import SessionState
 from sassafraswharf.membership.values import UpstreamState
 from sassafraswharf.requests.classification import compile_services
@@ -37,32 +36,35 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.revision = 0
+        self.configuration = RevisionHolder()
         self.matcher: RequestMatcher = compile_services([]).unwrap()
         self.services: dict[str, ServiceDocument] = {}
         self.cyclic_services: set[ServiceName] = set()
         self.available: dict[ServiceName, tuple[UpstreamId, ...]] = {}
         self.changed = ChangeSignal()
 
+    @property
+    def revision(self) -> int:
+        """The configuration revision in force."""
+        return self.configuration.revision
+
     def accept_configuration(
         self, revision: int, document: bytes
     ) -> Result[bool, Failure]:
         """Use a newer configuration; an older or equal one changes nothing."""
-        if revision <= self.revision:
-            return Ok(False)
-        decoded = decode_document(document)
-        if isinstance(decoded, Err):
-            return decoded
-        services = decoded.ok_value["services"]
+        accepted = self.configuration.accept(revision, document)
+        in_force = self.configuration.document
+        if isinstance(accepted, Err) or not accepted.ok_value or in_force is None:
+            return accepted
+        services = in_force["services"]
         matcher = compile_services(services)
         if isinstance(matcher, Err):
             return matcher
         self.matcher = matcher.ok_value
         self.services = {service["name"]: service for service in services}
         self.cyclic_services = services_in_call_cycles(services)
-        self.revision = revision
         self.changed.notify()
-        return Ok(True)
+        return accepted
 
     def apply(self, delta: CellDelta) -> Result[None, Failure]:
         """Apply a delta and wake the tasks that wait for a change."""
