--- a/src/sassafraswharf/cell/delta.py
+++ b/src/sassafraswharf/cell/delta.py
@@ -16,7 +16,8 @@
 class CellDelta(NamedTuple):
     """The difference to a version of the cell; full when it starts at 0.
 
-    Upstreams, sessions, convictions and suspects are complete lists. Closed
+    Upstreams, sessions, convictions and suspects are complete lists, or
+    ``None`` if the list has not changed after ``from_version``. Closed
     sessions are included while they are named in sources, so that their
     journal sets can be found. ``suspects`` are digests that must run alone.
     """
@@ -24,7 +25,7 @@
     from_version: int
     to_version: int
     tables: tuple[TableDelta, ...]
-    upstreams: tuple[Upstream, ...]
-    sessions: tuple[Session, ...]
-    convictions: tuple[Conviction, ...]
-    suspects: tuple[bytes, ...]
+    upstreams: tuple[Upstream, ...] | None
+    sessions: tuple[Session, ...] | None
+    convictions: tuple[Conviction, ...] | None
+    suspects: tuple[bytes, ...] | None
--- a/src/sassafraswharf/cell/members.py
+++ b/src/sassafraswharf/cell/members.py
@@ -8,6 +8,7 @@
 from sassafraswharf.cell.outcome import accepted
 from sassafraswharf.cell.outcome import refused
 from sassafraswharf.codes import ResultCode
+from sassafraswharf.marked_dict import MarkedDict
 from sassafraswharf.membership.transitions import UpstreamEvent
 from sassafraswharf.membership.transitions import next_state
 from sassafraswharf.membership.values import Session
@@ -39,8 +40,8 @@
     def __init__(
         self, sessions: Iterable[Session] = (), upstreams: Iterable[Upstream] = ()
     ) -> None:
-        self.sessions = {session.session: session for session in sessions}
-        self.upstreams = {upstream.upstream: upstream for upstream in upstreams}
+        self.sessions = MarkedDict((value.session, value) for value in sessions)
+        self.upstreams = MarkedDict((value.upstream, value) for value in upstreams)
 
     def is_open(self, session: SessionId) -> bool:
         """Return whether the session is open and the newest of its host."""
--- a/src/sassafraswharf/cell/snapshot.py
+++ b/src/sassafraswharf/cell/snapshot.py
@@ -13,6 +13,7 @@
 from sassafraswharf.cell.codec import decode_value
 from sassafraswharf.cell.commands import ServiceSpec
 from sassafraswharf.cell.counters import Counters
+from sassafraswharf.cell.list_versions import ListVersions
 from sassafraswharf.codes import ResultCode
 from sassafraswharf.exceptions import StorageError
 from sassafraswharf.failure import Failure
@@ -38,6 +39,7 @@
     suspects: tuple[Suspect, ...]
     crashes: tuple[CrashSeen, ...]
     counters: Counters
+    list_versions: ListVersions
 
 
 def encode_snapshot(snapshot: CellSnapshot) -> bytes:
--- a/src/sassafraswharf/cell/state.py
+++ b/src/sassafraswharf/cell/state.py
@@ -15,10 +15,13 @@
 from sassafraswharf.cell.commands import SessionOpened
 from sassafraswharf.cell.counters import Counters
 from sassafraswharf.cell.delta import CellDelta
+from sassafraswharf.cell.list_versions import ListVersions
+from sassafraswharf.cell.list_versions import if_changed
 from sassafraswharf.cell.members import Members
 from sassafraswharf.cell.outcome import Outcome
 from sassafraswharf.cell.outcome import accepted
 from sassafraswharf.cell.outcome import refused
+from sassafraswharf.cell.slot_time import SlotTime
 from sassafraswharf.cell.snapshot import CellSnapshot
 from sassafraswharf.cell.snapshot import decode_snapshot
 from sassafraswharf.cell.snapshot import encode_snapshot
@@ -60,8 +63,8 @@
         self.version = 0
         self.applied_index = 0
         self.last_at = 0.0
-        self._orphaned = 0
-        self._closing = 0
+        self.list_versions = ListVersions()
+        self.slot_time = SlotTime()
 
     @property
     def sessions(self) -> dict[SessionId, Session]:
@@ -87,9 +90,12 @@
         value = decoded.unwrap()
         self._advance(value.at)
         outcome = _HANDLERS[type(value)](self, index, value)
+        self.list_versions = self.list_versions.after(
+            self.members, self.suspects, index
+        )
         if outcome.changed:
             self.version = index
-            self._recount()
+            self.slot_time.recount(self.tables, self.services, self.is_orphaned)
         self._audit(index, value, outcome)
         return encode_reply(self._reply(value, outcome))
 
@@ -102,6 +108,7 @@
 
     def delta_since(self, version: int) -> CellDelta:
         """Return what a router at ``version`` lacks."""
+        lists = self.list_versions
         return CellDelta(
             version,
             self.version,
@@ -109,10 +116,10 @@
                 table.delta_since(version, self.version)
                 for table in self.tables.values()
             ),
-            tuple(self.upstreams.values()),
-            tuple(self.sessions.values()),
-            self.suspects.convictions(),
-            self.suspects.suspected(),
+            if_changed(tuple(self.upstreams.values()), lists.upstreams, version),
+            if_changed(tuple(self.sessions.values()), lists.sessions, version),
+            if_changed(self.suspects.convictions(), lists.convictions, version),
+            if_changed(self.suspects.suspected(), lists.suspects, version),
         )
 
     def snapshot(self) -> bytes:
@@ -131,6 +138,7 @@
                 tuple(self.suspects.suspects.values()),
                 tuple(self.suspects.crashes),
                 self.counters,
+                self.list_versions,
             )
         )
 
@@ -149,35 +157,18 @@
         self.trail = AuditTrail(value.trail)
         self.suspects = SuspectTable(value.suspects, value.crashes)
         self.counters = value.counters
-        self._recount()
+        self.list_versions = value.list_versions
+        self.slot_time.recount(self.tables, self.services, self.is_orphaned)
 
     def _advance(self, at: float) -> None:
         # Wall clocks of successive leaders may differ; time never goes back here.
         if at <= self.last_at:
             return
         if self.last_at:
-            elapsed = at - self.last_at
-            self.counters = self.counters._replace(
-                unavailable_slot_s=self.counters.unavailable_slot_s
-                + elapsed * self._orphaned,
-                closing_slot_s=self.counters.closing_slot_s + elapsed * self._closing,
-            )
+            self.counters = self.slot_time.add(self.counters, at - self.last_at)
         self.last_at = at
         self.suspects.expire(at)
 
-    def _recount(self) -> None:
-        orphaned = closing = 0
-        for name, table in self.tables.items():
-            if name not in self.services:
-                continue
-            for holding, slots in table.holdings():
-                if self.is_orphaned(holding):
-                    orphaned += slots
-                elif holding.closing:
-                    closing += slots
-        self._orphaned = orphaned
-        self._closing = closing
-
     def _audit(self, index: int, command: commands.Command, outcome: Outcome) -> None:
         operator = getattr(command, "actor", "")
         if not outcome.changed and not operator:
--- a/src/sassafraswharf/cell/view.py
+++ b/src/sassafraswharf/cell/view.py
@@ -61,10 +61,14 @@
             if applied.is_err():
                 return applied
             self.tables[part.service] = table
-        self.upstreams = {value.upstream: value for value in delta.upstreams}
-        self.sessions = {value.session: value for value in delta.sessions}
-        self.convictions = {value.digest: value for value in delta.convictions}
-        self.suspects = frozenset(delta.suspects)
+        if delta.upstreams is not None:
+            self.upstreams = {value.upstream: value for value in delta.upstreams}
+        if delta.sessions is not None:
+            self.sessions = {value.session: value for value in delta.sessions}
+        if delta.convictions is not None:
+            self.convictions = {value.digest: value for value in delta.convictions}
+        if delta.suspects is not None:
+            self.suspects = frozenset(delta.suspects)
         self.version = delta.to_version
         return Ok(None)
 
--- a/src/sassafraswharf/quarantine/suspect_table.py
+++ b/src/sassafraswharf/quarantine/suspect_table.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from sassafraswharf.identifiers import UpstreamId
+from sassafraswharf.marked_dict import MarkedDict
 
 
 if TYPE_CHECKING:
@@ -60,7 +61,7 @@
     def __init__(
         self, suspects: Iterable[Suspect] = (), crashes: Iterable[CrashSeen] = ()
     ) -> None:
-        self.suspects = {suspect.digest: suspect for suspect in suspects}
+        self.suspects = MarkedDict((value.digest, value) for value in suspects)
         self.crashes = dict.fromkeys(crashes)
 
     def report_crash(
@@ -123,7 +124,12 @@
         )
 
     def _count(self, digest: bytes, alone: bool, at: float) -> None:
-        suspect = self.suspects.pop(digest, None) or Suspect(digest, 0, at, 0.0, False)
+        suspect = self.suspects.get(digest)
+        if suspect is None:
+            suspect = Suspect(digest, 0, at, 0.0, False)
+        else:
+            # The newest suspect comes last, and the oldest is dropped first.
+            del self.suspects[digest]
         convicted_until = suspect.convicted_until
         if alone and suspect.crashes and not convicted_until:
             convicted_until = at + CONVICTION_S
--- /dev/null
+++ b/src/sassafraswharf_bench/cell_scale.py
@@ -0,0 +1,163 @@
+"""Measure how a cell's state and controller behave at the size of section 1.5.
+
+Each line of output is a JSON object. Run it with
+``python -m sassafraswharf_bench.cell_scale``. A cell has 65,536 slots.
+"""
+
+from __future__ import annotations
+
+import json
+import time
+
+from sassafraswharf.cell import commands
+from sassafraswharf.cell.codec import encode_command
+from sassafraswharf.cell.controller import CellController
+from sassafraswharf.cell.state import CellState
+from sassafraswharf.identifiers import HostId
+from sassafraswharf.identifiers import ServiceName
+from sassafraswharf.identifiers import SessionId
+from sassafraswharf.identifiers import UpstreamId
+from sassafraswharf.ownership.hashing import MAX_SLOT_COUNT
+from sassafraswharf.ownership.values import SlotRange
+from sassafraswharf.placement.load_view import LoadView
+from sassafraswharf.transport import messages
+
+
+SERVICE = ServiceName("diary")
+CELL_HOSTS = 200
+ZONE_HOSTS = 1_029
+SURVIVORS = 1_371
+FIRST_ANNOUNCED_S = 10.0
+TICK_S = 0.05
+MAX_TICKS = 2_000
+
+
+class Cell:
+    """A state and a controller; the log applies every command at once."""
+
+    def __init__(self) -> None:
+        """Start with one service and no upstream."""
+        self.state = CellState()
+        self.controller = CellController()
+        self.loads = LoadView()
+        self.index = 0
+        self.now = 0.0
+        self.plan_ms: list[float] = []
+        self.apply_ms: list[float] = []
+        self.largest = 0
+        spec = commands.ServiceSpec(SERVICE, MAX_SLOT_COUNT, admit_any=True)
+        self.apply(commands.SetServices(1, (spec,)))
+
+    def apply(self, command: commands.Command) -> int:
+        """Apply a command and return its index."""
+        self.index += 1
+        data = encode_command(command)
+        started = time.perf_counter()
+        self.state.apply(self.index, data)
+        self.apply_ms.append((time.perf_counter() - started) * 1_000)
+        self.largest = max(self.largest, len(data))
+        return self.index
+
+    def add_host(self, number: int, zone: str) -> SessionId:
+        """Open the session of a host and announce its upstream."""
+        host = HostId(f"host-{number:04}")
+        address = f"10.0.{number // 250}.{number % 250}"
+        where = (f"{address}:7000", f"{address}:7001")
+        control = (f"{address}:7002", f"{address}:7003")
+        opening = commands.OpenSession(host, 1, zone, *where, *control)
+        session = SessionId(self.apply(opening))
+        self.apply(
+            commands.AnnounceUpstream(
+                UpstreamId(f"upstream-{number:04}"),
+                host,
+                session,
+                SERVICE,
+                f"{address}:8000",
+                10,
+                130,
+                True,
+                1,
+                1.0,
+            )
+        )
+        return session
+
+    def settle(self, expired: list[SessionId]) -> dict[str, object]:
+        """Tick until every slot is owned, and return what blocked for how long."""
+        self.plan_ms.clear()
+        self.apply_ms.clear()
+        self.largest = ticks = 0
+        done = False
+        while not done and ticks < MAX_TICKS:
+            self.now += TICK_S
+            ticks += 1
+            started = time.perf_counter()
+            decided = self.controller.tick(self.state, expired, self.loads, self.now)
+            self.plan_ms.append((time.perf_counter() - started) * 1_000)
+            for command in decided:
+                self.apply(command)
+            done = not self.orphans() and ticks > 1
+        return {
+            "ticks": ticks,
+            "left": self.orphans(),
+            "plan_worst_ms": round(max(self.plan_ms), 1),
+            "plan_total_ms": round(sum(self.plan_ms), 1),
+            "apply_worst_ms": round(max(self.apply_ms, default=0.0), 1),
+            "apply_total_ms": round(sum(self.apply_ms), 1),
+            "largest_command_bytes": self.largest,
+        }
+
+    def orphans(self) -> int:
+        """Return how many slots no live session may serve."""
+        return sum(
+            slots
+            for holding, slots in self.state.tables[SERVICE].holdings()
+            if self.state.is_orphaned(holding)
+        )
+
+
+def delta_bytes() -> dict[str, object]:
+    """Return the encoded size of a delta after one slot has changed."""
+    cell = Cell()
+    for number in range(CELL_HOSTS):
+        cell.add_host(number, f"zone-{number % 3}")
+    cell.settle([])
+    version = cell.state.version
+    cell.apply(commands.CloseSlots(SERVICE, (SlotRange(7, 1),)))
+    delta = cell.state.delta_since(version)
+    full = cell.state.delta_since(0)
+    return {
+        "measure": "delta",
+        "hosts": CELL_HOSTS,
+        "one_slot_bytes": len(messages.encode(delta)),
+        "full_bytes": len(messages.encode(full)),
+    }
+
+
+def first_placement() -> dict[str, object]:
+    """Return what the first placement costs with all hosts of a cell present."""
+    cell = Cell()
+    for number in range(CELL_HOSTS):
+        cell.add_host(number, f"zone-{number % 3}")
+    cell.now = FIRST_ANNOUNCED_S
+    return {"measure": "first placement", "hosts": CELL_HOSTS} | cell.settle([])
+
+
+def zone_loss() -> dict[str, object]:
+    """Return what the loss of a zone costs if one cell has all of its nodes."""
+    cell = Cell()
+    lost = [cell.add_host(number, "zone-0") for number in range(ZONE_HOSTS)]
+    for number in range(ZONE_HOSTS, ZONE_HOSTS + SURVIVORS):
+        cell.add_host(number, f"zone-{1 + number % 2}")
+    cell.settle([])
+    return {"measure": "zone lost", "hosts": ZONE_HOSTS} | cell.settle(lost)
+
+
+def main() -> None:
+    """Measure and print."""
+    for measure in (delta_bytes, first_placement, zone_loss):
+        print(json.dumps(measure()), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/sassafraswharf_bench/sizing/arithmetic.py
+++ b/src/sassafraswharf_bench/sizing/arithmetic.py
@@ -231,8 +231,9 @@
 def deltas(targets: Targets, assumed: Assumptions, slopes: Slopes) -> Deltas:
     """Return the traffic of table deltas.
 
-    Every ``CellDelta`` carries all upstreams and sessions of its cell
-    (``fixed_bytes``). To isolate a hot slot the other slots of its upstream
+    A ``CellDelta`` carries all upstreams and sessions of its cell
+    (``fixed_bytes``) if any of them changed, as after a restart, and none of
+    them after a move of slots. To isolate a hot slot the other slots of its upstream
     move away. Runs are taken as one slot long, the worst case of a table whose
     slots have been moved singly. ``zone_send_s`` is the time in which the
     control hosts can send a lost zone's slots to all nodes.
@@ -246,13 +247,7 @@
     own = events * assumed.pulls_per_restart * fixed / DAY_S
     slots = assumed.services * assumed.slot_count
     hot_slots = targets.hot_keys * slots_of(targets, assumed).per_upstream
-    pulls = min(
-        targets.hot_keys * 3.0,
-        assumed.renewals_per_s * assumed.hot_window_s * assumed.cells,
-    )
-    hot = (hot_slots * 2 * slopes["run_wire_bytes"] + pulls * fixed) / (
-        assumed.hot_window_s
-    )
+    hot = hot_slots * 2 * slopes["run_wire_bytes"] / assumed.hot_window_s
     zone_bytes = slots / targets.zones * slopes["run_wire_bytes"]
     per_control_host = zone_bytes * targets.nodes / targets.control_hosts
     return Deltas(
--- a/src/sassafraswharf_bench/sizing/checks.py
+++ b/src/sassafraswharf_bench/sizing/checks.py
@@ -202,7 +202,8 @@
             kilobytes_per_s(every),
             verdict(every, targets.bytes_per_s),
             (
-                f"each delta carries all members, {delta.fixed_bytes / 1e3:.0f} KB; "
+                f"after a restart a delta has {delta.fixed_bytes / 1e3:.0f} KB of "
+                "members; "
                 "an acknowledgement names only its own cell's version"
             ),
         ),
@@ -214,7 +215,7 @@
             limit,
             f"{kilobytes_per_s(hot)}, {delta.hot_slots:,.0f} slots move",
             verdict(hot, targets.bytes_per_s),
-            "members that did not change should stay out of a delta",
+            "a delta without changed members carries slots only",
         ),
     ]
 
--- a/tests/cell/test_invariants.py
+++ b/tests/cell/test_invariants.py
@@ -98,6 +98,11 @@
         restored.restore(self.sim.state.snapshot())
         assert restored.snapshot() == self.sim.state.snapshot()
         assert restored.delta_since(0) == self.sim.state.delta_since(0)
+        assert restored.list_versions == self.sim.state.list_versions
+        for host in self.sim.hosts:
+            if host.view.version == self.sim.state.version:
+                assert host.view.upstreams == self.sim.state.upstreams
+                assert host.view.sessions == self.sim.state.sessions
 
     def is_settled(self) -> bool:
         table = self.sim.state.tables[SERVICE]
--- a/tests/cell/test_state.py
+++ b/tests/cell/test_state.py
@@ -9,6 +9,7 @@
 from sassafraswharf.cell.codec import encode_command
 from sassafraswharf.cell.commands import ServiceSpec
 from sassafraswharf.cell.state import CellState
+from sassafraswharf.cell.view import CellView
 from sassafraswharf.codes import ResultCode
 from sassafraswharf.membership.values import SessionState
 from sassafraswharf.membership.values import UpstreamState
@@ -231,3 +232,48 @@
         ("h1", "AnnounceUpstream", 0),
         ("alice", "AdmitUpstream", 4002),
     ]
+
+
+def test_a_delta_carries_only_the_lists_that_changed() -> None:
+    """Guards against 30 KB of members in each delta, and against lost changes."""
+    log = Log()
+    session = log.open()
+    log.announce(session)
+    log.assign(session)
+    view = CellView()
+    view.apply(log.state.delta_since(0)).unwrap()
+    crash = commands.ReportCrash(UP, 1, (b"digest",), False)
+    steps: list[tuple[Any, set[str]]] = [
+        (commands.CloseSlots(SERVICE, ALL), set()),
+        (crash, {"convictions", "suspects"}),
+        (DRAIN, {"upstreams"}),
+        (commands.SetJournalPeers(session, 1, ()), {"sessions"}),
+        (commands.CloseSession(session, "end"), {"sessions"}),
+    ]
+    for command, changed in steps:
+        assert log.do(command).code == ResultCode.OK
+        state = CellState()
+        state.restore(log.state.snapshot())
+        delta = state.delta_since(view.version)
+        assert delta == log.state.delta_since(view.version)
+        lists = ("upstreams", "sessions", "convictions", "suspects")
+        assert {n for n in lists if getattr(delta, n) is not None} == changed
+        view.apply(delta).unwrap()
+        assert view.upstreams == log.state.upstreams
+        assert view.sessions == log.state.sessions
+        assert view.suspects == set(log.state.suspects.suspected())
+
+
+def test_a_suspicion_that_ended_reaches_routers() -> None:
+    """Guards against a list that shrinks without a new version of the cell."""
+    log = Log()
+    session = log.open()
+    log.do(commands.ReportCrash(UP, 1, (b"digest",), False))
+    view = CellView()
+    view.apply(log.state.delta_since(0)).unwrap()
+    log.index = 1_000
+    assert log.do(commands.CloseSlots(SERVICE, ALL)).changed == 0
+    assert log.state.version == view.version
+    log.announce(session)
+    view.apply(log.state.delta_since(view.version)).unwrap()
+    assert not view.suspects
