Bound the leader's work per tick

The first placement of 65,536 slots was planned and applied in one step each, and the loss of a zone also closed every session by its own command. Slot tables are changed run by run, and slots without service are counted when time has passed instead of after each command.

--- a/src/sassafraswharf/cell/commands.py
+++ b/src/sassafraswharf/cell/commands.py
@@ -65,6 +65,14 @@
     at: float = 0.0
 
 
+class CloseSessions(NamedTuple):
+    """Close the sessions whose leases ended at the same time."""
+
+    sessions: tuple[SessionId, ...]
+    reason: str
+    at: float = 0.0
+
+
 class SetJournalPeers(NamedTuple):
     """Give a session a new journal set."""
 
@@ -199,6 +207,7 @@
     SetServices
     | OpenSession
     | CloseSession
+    | CloseSessions
     | SetJournalPeers
     | JournalPeersReady
     | AnnounceUpstream
--- a/src/sassafraswharf/cell/controller.py
+++ b/src/sassafraswharf/cell/controller.py
@@ -2,16 +2,18 @@
 
 from __future__ import annotations
 
+import math
+
 from typing import TYPE_CHECKING
+from typing import NamedTuple
 
 from sassafraswharf.cell.commands import Assignment
 from sassafraswharf.cell.commands import AssignSlots
 from sassafraswharf.cell.commands import CloseSession
+from sassafraswharf.cell.commands import CloseSessions
 from sassafraswharf.cell.commands import CloseSlots
 from sassafraswharf.cell.commands import RemoveUpstream
-from sassafraswharf.cell.commands import SetJournalPeers
-from sassafraswharf.cell.journal_peers import PEER_COUNT
-from sassafraswharf.cell.journal_peers import choose_peers
+from sassafraswharf.cell.peer_planner import PeerPlanner
 from sassafraswharf.membership.values import SessionState
 from sassafraswharf.membership.values import UpstreamState
 from sassafraswharf.ownership.slot_table import ranges_of
@@ -22,7 +24,6 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
-    from collections.abc import Mapping
     from collections.abc import Sequence
 
     from sassafraswharf.cell.commands import Command
@@ -30,7 +31,6 @@
     from sassafraswharf.identifiers import ServiceName
     from sassafraswharf.identifiers import SessionId
     from sassafraswharf.identifiers import UpstreamId
-    from sassafraswharf.membership.values import Session
     from sassafraswharf.ownership.values import Holding
     from sassafraswharf.placement.load_view import LoadView
     from sassafraswharf.placement.values import Move
@@ -38,6 +38,17 @@
 
 CELL_ACTOR = "cell"
 REBALANCE_EVERY_S = 1.0
+WORK_PER_TICK = 3_072
+"""Slots to place plus upstreams to compare; each takes about 6 µs, and a tick
+must not block the event loop for 50 ms."""
+MIN_SLOTS_PER_TICK = 512
+
+
+class _Placed(NamedTuple):
+    """Commands for one service and the work they took, in slots."""
+
+    commands: list[Command]
+    work: int
 
 
 class CellController:
@@ -58,7 +69,8 @@
         self.limits = limits or PlannerLimits()
         self.planners: dict[ServiceName, Planner] = {}
         self._planned_at: dict[ServiceName, float] = {}
-        self._settled_peers: dict[SessionId, tuple[SessionId, ...]] | None = None
+        self.peers = PeerPlanner()
+        self._peers_went_along = False
 
     def configure(self, weights: Weights, limits: PlannerLimits) -> None:
         """Use other weights and limits from the next tick on."""
@@ -87,14 +99,46 @@
             if session in state.sessions
             and state.sessions[session].state != SessionState.CLOSED
         ]
-        commands: list[Command] = [
-            CloseSession(session, "lease expired", at) for session in ended
-        ]
+        commands: list[Command] = []
+        if len(ended) == 1:
+            commands.append(CloseSession(ended[0], "lease expired", at))
+        elif ended:
+            commands.append(CloseSessions(tuple(ended), "lease expired", at))
         gone = frozenset(ended)
-        for service in state.services:
-            commands += self._place(state, service, gone, loads, now, at)
+        placed = self._place_all(state, gone, loads, now, at)
+        commands += placed
         commands += self._remove_drained(state, gone, at)
-        commands += self._journal_peers(state, gone, at)
+        # While a zone's slots are placed, only every second tick also chooses
+        # journal peers, which hashes pairs of sessions.
+        peers_wait = bool(placed) and self._peers_went_along
+        if not peers_wait:
+            commands += self._journal_peers(state, gone, at)
+        self._peers_went_along = bool(placed) and not peers_wait
+        return commands
+
+    def _place_all(
+        self,
+        state: CellState,
+        gone: frozenset[SessionId],
+        loads: LoadView,
+        now: float,
+        at: float,
+    ) -> list[Command]:
+        """Place the services in turn until the work of one tick is done.
+
+        Those that have waited longest come first. A service without orphaned
+        slots is only planned if nothing else was planned in this tick.
+        """
+        commands: list[Command] = []
+        left = WORK_PER_TICK
+        for service in sorted(
+            state.services, key=lambda name: self._planned_at.get(name, -math.inf)
+        ):
+            done = self._place(state, service, gone, loads, now, at, left)
+            commands += done.commands
+            left -= done.work
+            if left <= 0:
+                break
         return commands
 
     def _place(
@@ -105,7 +149,8 @@
         loads: LoadView,
         now: float,
         at: float,
-    ) -> list[Command]:
+        left: int,
+    ) -> _Placed:
         table = state.tables[service]
         planner = self._planner(service)
         upstreams = [u for u in state.upstreams.values() if u.service == service]
@@ -116,15 +161,21 @@
             and state.members.accepts_slots(u.upstream, u.session, service)
         }
 
+        check = state.orphan_check()
+
         def is_orphaned(holding: Holding) -> bool:
-            return holding.session in gone or state.is_orphaned(holding)
+            return holding.session in gone or check(holding)
 
-        orphans = table.slots_where(is_orphaned) if sessions else []
+        limit = max(left - len(upstreams), MIN_SLOTS_PER_TICK)
+        orphans = table.slots_where(is_orphaned)[:limit] if sessions else []
         # Loads change slowly, and a plan takes milliseconds of the leader's time,
         # so that only orphaned slots are planned in every tick.
         last = self._planned_at.get(service)
-        if not orphans and last is not None and now - last < REBALANCE_EVERY_S:
-            return []
+        if not orphans:
+            if last is not None and now - last < REBALANCE_EVERY_S:
+                return _Placed([], 0)
+            if left < WORK_PER_TICK:
+                return _Placed([], 0)
         self._planned_at[service] = now
         moves = planner.plan(
             table,
@@ -140,7 +191,8 @@
         closing = ranges_of(move.slot for move in moves if move.source is not None)
         if closing:
             commands.append(CloseSlots(service, closing, at))
-        return commands
+        # A plan without orphaned slots counts as the work of a whole tick.
+        return _Placed(commands, len(orphans) + len(upstreams) if orphans else left)
 
     def _planner(self, service: ServiceName) -> Planner:
         planner = self.planners.get(service)
@@ -179,56 +231,22 @@
             for session in state.sessions.values()
             if session.state == SessionState.OPEN and session.session not in gone
         ]
-        newest = {session.session: _newest_peers(session) for session in live}
-        if newest == self._settled_peers:
-            return []
-        commands = _peer_changes(live, newest, at)
-        # Hashing all pairs of sessions in every tick would take tens of
-        # milliseconds with 200 hosts.
-        self._settled_peers = None if commands else newest
-        return commands
-
-
-def _peer_changes(
-    live: Sequence[Session],
-    newest: Mapping[SessionId, tuple[SessionId, ...]],
-    at: float,
-) -> list[Command]:
-    zones = {session.session: session.zone for session in live}
-    commands: list[Command] = []
-    for session in live:
-        current = newest[session.session]
-        generation = max(session.generation, session.pending_generation)
-        peer_zones = {zones[peer] for peer in current if peer in zones}
-        if generation and len(peer_zones - {session.zone}) == PEER_COUNT:
-            continue
-        peers = choose_peers(session, live, current)
-        if peers != current or not generation:
-            commands.append(SetJournalPeers(session.session, generation + 1, peers, at))
-    return commands
-
-
-def _newest_peers(session: Session) -> tuple[SessionId, ...]:
-    if session.pending_generation:
-        return session.pending_peers
-    return session.peers
+        return self.peers.plan(live, at)
 
 
 def _assignments(
     moves: Sequence[Move], sessions: dict[UpstreamId, SessionId]
 ) -> tuple[Assignment, ...]:
+    placed = sorted((move.slot, move.target) for move in moves if move.source is None)
     runs: list[Assignment] = []
-    for move in sorted(moves, key=lambda move: move.slot):
-        if move.source is not None:
-            continue
-        last = runs[-1] if runs else None
-        if (
-            last is not None
-            and last.upstream == move.target
-            and last.start + last.length == move.slot
-        ):
-            runs[-1] = last._replace(length=last.length + 1)
-        else:
-            session = sessions[move.target]
-            runs.append(Assignment(move.slot, 1, move.target, session))
+    start = end = 0
+    owner: UpstreamId | None = None
+    for slot, target in placed:
+        if target != owner or slot != end:
+            if owner is not None:
+                runs.append(Assignment(start, end - start, owner, sessions[owner]))
+            start, owner = slot, target
+        end = slot + 1
+    if owner is not None:
+        runs.append(Assignment(start, end - start, owner, sessions[owner]))
     return tuple(runs)
--- a/src/sassafraswharf/cell/slot_changes.py
+++ b/src/sassafraswharf/cell/slot_changes.py
@@ -11,6 +11,9 @@
 from typing import NamedTuple
 
 from sassafraswharf.identifiers import SessionId
+from sassafraswharf.ownership.slot_table import ranges_of
+from sassafraswharf.ownership.values import Holding
+from sassafraswharf.ownership.values import SlotRange
 from sassafraswharf.ownership.values import SlotRun
 
 
@@ -24,8 +27,6 @@
     from sassafraswharf.cell.commands import SlotsReleased
     from sassafraswharf.identifiers import UpstreamId
     from sassafraswharf.ownership.slot_table import SlotTable
-    from sassafraswharf.ownership.values import Holding
-    from sassafraswharf.ownership.values import SlotRange
 
 
 NO_SESSION = SessionId(0)
@@ -62,22 +63,30 @@
     """Assign the slots that are orphaned; the epoch is the log index."""
     moved = returned = assigned = 0
     for part in command.assignments:
-        if not table.covers(part.start, part.length):
-            continue
         if not accepts_slots(part.upstream, part.session):
             continue
         runs: list[SlotRun] = []
-        for slot in range(part.start, part.start + part.length):
-            holding = table.holding(slot)
+        for run in table.stretches([SlotRange(part.start, part.length)]):
+            holding = _holding_of(run)
             if not is_orphaned(holding):
                 continue
-            assigned += 1
-            if holding.upstream == part.upstream:
-                returned += 1
-            elif table.epoch(slot):
-                moved += 1
+            assigned += run.length
+            if run.upstream == part.upstream:
+                returned += run.length
+            elif run.epoch:
+                moved += run.length
             sources = sources_after(holding, part.session)
-            _extend(runs, slot, part.upstream, part.session, index, False, sources)
+            runs.append(
+                SlotRun(
+                    run.start,
+                    run.length,
+                    part.upstream,
+                    part.session,
+                    index,
+                    False,
+                    sources,
+                )
+            )
         table.assign(runs, index).unwrap()
     return AssignResult(assigned, moved, returned)
 
@@ -89,72 +98,74 @@
     is_orphaned: Callable[[Holding], bool],
 ) -> int:
     """Mark owned slots as closing."""
-    slots = [
-        slot
-        for slot in _slots(table, command.runs)
-        if table.holding(slot).upstream and not is_orphaned(table.holding(slot))
-    ]
-    return close_slots(table, slots, index)
+    return _write(
+        table,
+        index,
+        (
+            run._replace(closing=True)
+            for run in table.stretches(command.runs)
+            if not run.closing and run.upstream and not is_orphaned(_holding_of(run))
+        ),
+    )
 
 
 def close_slots(table: SlotTable, slots: Iterable[int], index: int) -> int:
     """Mark slots as closing that are not closing yet."""
-    runs: list[SlotRun] = []
-    for slot in slots:
-        old = table.at(slot)
-        if not old.closing:
-            _extend(runs, slot, old.upstream, old.session, old.epoch, True, old.sources)
-    table.assign(runs, index).unwrap()
-    return sum(run.length for run in runs)
+    return _write(
+        table,
+        index,
+        (
+            run._replace(closing=True)
+            for run in table.stretches(ranges_of(slots))
+            if not run.closing
+        ),
+    )
 
 
 def release(table: SlotTable, command: SlotsReleased, index: int) -> int:
     """Take closing slots from the session that has finished their work."""
-    runs: list[SlotRun] = []
-    for slot in _slots(table, command.runs):
-        old = table.at(slot)
-        if not old.closing or old.session != command.session:
-            continue
-        if old.epoch > command.epoch:
-            continue
-        sources = sources_after(table.holding(slot), NO_SESSION)
-        _extend(runs, slot, None, NO_SESSION, old.epoch, False, sources)
-    table.assign(runs, index).unwrap()
-    return sum(run.length for run in runs)
+    return _write(
+        table,
+        index,
+        (
+            SlotRun(
+                run.start,
+                run.length,
+                None,
+                NO_SESSION,
+                run.epoch,
+                False,
+                sources_after(_holding_of(run), NO_SESSION),
+            )
+            for run in table.stretches(command.runs)
+            if run.closing
+            and run.session == command.session
+            and run.epoch <= command.epoch
+        ),
+    )
 
 
 def journal_ready(table: SlotTable, command: JournalReady, index: int) -> int:
     """Empty the sources of slots whose owner has sealed them."""
-    runs: list[SlotRun] = []
-    for slot in _slots(table, command.slots):
-        old = table.at(slot)
-        if old.session != command.session or old.epoch != command.epoch:
-            continue
-        if old.sources:
-            _extend(runs, slot, old.upstream, old.session, old.epoch, old.closing, ())
+    return _write(
+        table,
+        index,
+        (
+            run._replace(sources=())
+            for run in table.stretches(command.slots)
+            if run.sources
+            and run.session == command.session
+            and run.epoch == command.epoch
+        ),
+    )
+
+
+def _write(table: SlotTable, index: int, changed: Iterable[SlotRun]) -> int:
+    # All runs are read before the first is written.
+    runs = list(changed)
     table.assign(runs, index).unwrap()
     return sum(run.length for run in runs)
 
 
-def _slots(table: SlotTable, runs: Iterable[SlotRange]) -> Iterable[int]:
-    for run in runs:
-        if table.covers(run.start, run.length):
-            yield from range(run.start, run.start + run.length)
-
-
-def _extend(
-    runs: list[SlotRun],
-    slot: int,
-    upstream: UpstreamId | None,
-    session: SessionId,
-    epoch: int,
-    closing: bool,
-    sources: tuple[SessionId, ...],
-) -> None:
-    run = SlotRun(slot, 1, upstream, session, epoch, closing, sources)
-    if runs:
-        last = runs[-1]
-        if last.start + last.length == slot and last[2:] == run[2:]:
-            runs[-1] = last._replace(length=last.length + 1)
-            return
-    runs.append(run)
+def _holding_of(run: SlotRun) -> Holding:
+    return Holding(run.upstream, run.session, run.closing, run.sources)
--- a/src/sassafraswharf/cell/slot_time.py
+++ b/src/sassafraswharf/cell/slot_time.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from sassafraswharf.cell import commands
+
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -12,16 +14,35 @@
 
     from sassafraswharf.cell.counters import Counters
     from sassafraswharf.identifiers import ServiceName
+    from sassafraswharf.identifiers import SessionId
+    from sassafraswharf.identifiers import UpstreamId
     from sassafraswharf.ownership.slot_table import SlotTable
     from sassafraswharf.ownership.values import Holding
 
 
+KEEPS_SLOT_TIME = (
+    commands.SetJournalPeers,
+    commands.JournalPeersReady,
+    commands.JournalReady,
+    commands.ReportCrash,
+    commands.ClearSuspects,
+    commands.ReleaseSuspect,
+)
+"""Commands that don't change which slots are served."""
+
+
 class SlotTime:
-    """The slots without an owner and those in handover, as of the last command."""
+    """The slots without an owner and those in handover, as of the last command.
+
+    They are counted when time has passed and not after each command: the leader
+    proposes many commands with one instant, and counting the slots of 2,400
+    hosts takes milliseconds.
+    """
 
     def __init__(self) -> None:
         self.orphaned = 0
         self.closing = 0
+        self.is_stale = True
 
     def recount(
         self,
@@ -30,6 +51,9 @@
         is_orphaned: Callable[[Holding], bool],
     ) -> None:
         """Count the slots of all services that are configured."""
+        if not self.is_stale:
+            return
+        self.is_stale = False
         self.orphaned = self.closing = 0
         for name, table in tables.items():
             if name not in services:
@@ -46,3 +70,21 @@
             unavailable_slot_s=counters.unavailable_slot_s + elapsed_s * self.orphaned,
             closing_slot_s=counters.closing_slot_s + elapsed_s * self.closing,
         )
+
+
+def remembered(check: Callable[[Holding], bool]) -> Callable[[Holding], bool]:
+    """Return a check that asks only once for each upstream and session.
+
+    After the loss of a zone the same owner has many holdings that differ in
+    their sources.
+    """
+    known: dict[tuple[UpstreamId | None, SessionId], bool] = {}
+
+    def check_once(holding: Holding) -> bool:
+        owner = holding[:2]
+        found = known.get(owner)
+        if found is None:
+            found = known[owner] = check(holding)
+        return found
+
+    return check_once
--- a/src/sassafraswharf/cell/state.py
+++ b/src/sassafraswharf/cell/state.py
@@ -9,6 +9,7 @@
 from sassafraswharf.audit.trail import AuditTrail
 from sassafraswharf.cell import commands
 from sassafraswharf.cell import slot_changes
+from sassafraswharf.cell import suspect_changes
 from sassafraswharf.cell.codec import decode_command
 from sassafraswharf.cell.codec import encode_reply
 from sassafraswharf.cell.commands import Reply
@@ -21,7 +22,9 @@
 from sassafraswharf.cell.outcome import Outcome
 from sassafraswharf.cell.outcome import accepted
 from sassafraswharf.cell.outcome import refused
+from sassafraswharf.cell.slot_time import KEEPS_SLOT_TIME
 from sassafraswharf.cell.slot_time import SlotTime
+from sassafraswharf.cell.slot_time import remembered
 from sassafraswharf.cell.snapshot import CellSnapshot
 from sassafraswharf.cell.snapshot import decode_snapshot
 from sassafraswharf.cell.snapshot import encode_snapshot
@@ -30,7 +33,6 @@
 from sassafraswharf.membership.transitions import UpstreamEvent
 from sassafraswharf.ownership.hashing import MAX_SLOT_COUNT
 from sassafraswharf.ownership.slot_table import SlotTable
-from sassafraswharf.quarantine.suspect_table import CrashSeen
 from sassafraswharf.quarantine.suspect_table import SuspectTable
 
 
@@ -95,7 +97,7 @@
         )
         if outcome.changed:
             self.version = index
-            self.slot_time.recount(self.tables, self.services, self.is_orphaned)
+            self.slot_time.is_stale |= type(value) not in KEEPS_SLOT_TIME
         self._audit(index, value, outcome)
         return encode_reply(self._reply(value, outcome))
 
@@ -106,6 +108,10 @@
             and self.members.is_present(holding.upstream)
         )
 
+    def orphan_check(self) -> Callable[[Holding], bool]:
+        """Return ``is_orphaned`` with memory, to be used until the next command."""
+        return remembered(self.is_orphaned)
+
     def delta_since(self, version: int) -> CellDelta:
         """Return what a router at ``version`` lacks."""
         lists = self.list_versions
@@ -158,13 +164,14 @@
         self.suspects = SuspectTable(value.suspects, value.crashes)
         self.counters = value.counters
         self.list_versions = value.list_versions
-        self.slot_time.recount(self.tables, self.services, self.is_orphaned)
+        self.slot_time.is_stale = True
 
     def _advance(self, at: float) -> None:
         # Wall clocks of successive leaders may differ; time never goes back here.
         if at <= self.last_at:
             return
         if self.last_at:
+            self.slot_time.recount(self.tables, self.services, self.orphan_check())
             self.counters = self.slot_time.add(self.counters, at - self.last_at)
         self.last_at = at
         self.suspects.expire(at)
@@ -242,6 +249,12 @@
         self._forget_sessions()
         return outcome
 
+    def _close_sessions(self, _index: int, command: commands.CloseSessions) -> Outcome:
+        closed = [self.members.close_session(session) for session in command.sessions]
+        self._forget_sessions()
+        subjects = [outcome.subject for outcome in closed if outcome.changed]
+        return accepted(", ".join(subjects), len(subjects))
+
     def _set_peers(self, _index: int, command: commands.SetJournalPeers) -> Outcome:
         return self.members.set_peers(command)
 
@@ -302,14 +315,13 @@
         changed = change(table)
         if not changed:
             return refused(ResultCode.STALE_EPOCH, str(service), "no slot changed")
-        self._forget_sessions()
         return accepted(f"{service}: {changed} slots", changed)
 
     def _close_slots(self, index: int, command: commands.CloseSlots) -> Outcome:
         return self._slots(
             command.service,
             lambda table: slot_changes.close_ranges(
-                table, command, index, self.is_orphaned
+                table, command, index, self.orphan_check()
             ),
         )
 
@@ -319,17 +331,21 @@
         )
 
     def _ready(self, index: int, command: commands.JournalReady) -> Outcome:
-        return self._slots(
+        outcome = self._slots(
             command.service,
             lambda table: slot_changes.journal_ready(table, command, index),
         )
+        # Other changes of slots keep every session named that was named before.
+        self._forget_sessions()
+        return outcome
 
     def _assign(self, index: int, command: commands.AssignSlots) -> Outcome:
         def accepts(upstream: UpstreamId, session: SessionId) -> bool:
             return self.members.accepts_slots(upstream, session, command.service)
 
         def change(table: SlotTable) -> int:
-            done = slot_changes.assign(table, command, index, self.is_orphaned, accepts)
+            check = self.orphan_check()
+            done = slot_changes.assign(table, command, index, check, accepts)
             self.counters = self.counters._replace(
                 slots_assigned=self.counters.slots_assigned + done.assigned,
                 slots_moved=self.counters.slots_moved + done.moved,
@@ -346,33 +362,22 @@
         self.members.forget_sessions(named)
 
     def _crash(self, _index: int, command: commands.ReportCrash) -> Outcome:
-        seen = CrashSeen(command.upstream, command.incarnation)
-        changed = self.suspects.report_crash(
-            seen, command.digests, command.alone, self.last_at
-        )
-        return accepted(_subject(changed), len(changed))
+        return suspect_changes.report_crash(self.suspects, command, self.last_at)
 
     def _clear(self, _index: int, command: commands.ClearSuspects) -> Outcome:
-        cleared = [d for d in command.digests if self.suspects.clear(d)]
-        return accepted(_subject(cleared), len(cleared))
+        return suspect_changes.clear(self.suspects, command)
 
     def _release_suspect(
         self, _index: int, command: commands.ReleaseSuspect
     ) -> Outcome:
-        subject = command.digest.hex()
-        if not self.suspects.release(command.digest):
-            return refused(ResultCode.INVALID_TRANSITION, subject, "not convicted")
-        return accepted(subject)
-
-
-def _subject(digests: list[bytes]) -> str:
-    return " ".join(digest.hex() for digest in digests)
+        return suspect_changes.release(self.suspects, command)
 
 
 _HANDLERS: dict[type[Any], Callable[[CellState, int, Any], Outcome]] = {
     commands.SetServices: CellState._set_services,
     commands.OpenSession: CellState._open_session,
     commands.CloseSession: CellState._close_session,
+    commands.CloseSessions: CellState._close_sessions,
     commands.SetJournalPeers: CellState._set_peers,
     commands.JournalPeersReady: CellState._peers_ready,
     commands.AnnounceUpstream: CellState._announce,
--- a/src/sassafraswharf/control/control_part.py
+++ b/src/sassafraswharf/control/control_part.py
@@ -51,6 +51,8 @@
 
 CONFIGURATION_GROUP: Final = GroupId("configuration")
 CONTROLLER_TICK_S: Final = 0.05
+BUSY_TICK_S: Final = 0.01
+"""The slots of a lost zone take several ticks, which should follow at once."""
 COMMAND_TIMEOUT_S: Final = 1.0
 PROPOSAL_TIMEOUT_S: Final = 2.0
 
@@ -99,6 +101,7 @@
         self.controller = CellController()
         self.configured_revision = 0
         self.notified_version = 0
+        self.is_busy = False
         self.task: asyncio.Task[None] | None = None
 
     def create_group(self, group: GroupId, machine: StateMachine) -> GroupTask:
@@ -167,17 +170,20 @@
     async def control(self) -> None:
         """Decide as the leader of the cell until cancelled."""
         while True:
-            await asyncio.sleep(CONTROLLER_TICK_S)
+            await asyncio.sleep(BUSY_TICK_S if self.is_busy else CONTROLLER_TICK_S)
             try:
-                await self.decide()
+                self.is_busy = await self.decide()
             except Exception:
                 logging.exception("the cell controller failed")
 
-    async def decide(self) -> None:
-        """Propose what the controller decides, and tell the hosts."""
+    async def decide(self) -> bool:
+        """Propose what the controller decides, tell the hosts.
+
+        Returns whether there was anything to decide.
+        """
         group = self.groups[self.cell_name]
         if not group.is_current_leader():
-            return
+            return False
         await self.follow_configuration()
         expired = self.desk.expired()
         commands = self.controller.tick(
@@ -189,6 +195,7 @@
         if self.cell.version != self.notified_version:
             self.notified_version = self.cell.version
             self.desk.notify_hosts(self.cell_name, self.datagrams)
+        return bool(commands)
 
     async def commit(self, command: Command) -> None:
         """Commit a command of the controller."""
--- a/src/sassafraswharf/ownership/slot_table.py
+++ b/src/sassafraswharf/ownership/slot_table.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import itertools
+
 from array import array
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from result import Err
@@ -220,23 +223,36 @@
         start = 0
         for run in packed.runs:
             number = table._number(packed.holdings[run.holding])
-            for slot in range(start, start + run.length):
-                table._set(slot, number, run.epoch, run.changed)
+            table._set(start, run.length, number, run.epoch, run.changed)
             start += run.length
         table.version = packed.version
         return table
 
+    def stretches(self, ranges: Iterable[SlotRange]) -> Iterator[SlotRun]:
+        """Return these slots as runs that are alike; ranges outside are left out."""
+        for part in ranges:
+            if not self.covers(part.start, part.length):
+                continue
+            start, end = part.start, part.start + part.length
+            rows = zip(self._holding[start:end], self._epoch[start:end], strict=True)
+            for (number, epoch), same in itertools.groupby(rows):
+                length = sum(1 for _ in same)
+                yield self._run(start, length, number, epoch)
+                start += length
+
     def _accepts(self, run: SlotRun) -> bool:
-        epochs = self._epoch[run.start : run.start + run.length]
-        if max(epochs) < run.epoch:
-            return True
+        end = run.start + run.length
+        epochs = self._epoch[run.start : end]
+        newest = max(epochs)
+        if newest != run.epoch:
+            return newest < run.epoch
+        rows = set(zip(self._holding[run.start : end], epochs, strict=True))
         return all(
-            epoch < run.epoch or (epoch == run.epoch and self._continues(slot, run))
-            for slot, epoch in enumerate(epochs, run.start)
+            epoch < run.epoch or self._continues(self._holdings[number], run)
+            for number, epoch in rows
         )
 
-    def _continues(self, slot: int, run: SlotRun) -> bool:
-        holding = self.holding(slot)
+    def _continues(self, holding: Holding, run: SlotRun) -> bool:
         if run.upstream is None:
             return True
         same_owner = (holding.upstream, holding.session) == (run.upstream, run.session)
@@ -247,24 +263,25 @@
             number = self._number(
                 Holding(run.upstream, run.session, run.closing, run.sources)
             )
-            for slot in range(run.start, run.start + run.length):
-                self._set(slot, number, run.epoch, version)
+            self._set(run.start, run.length, number, run.epoch, version)
         self.version = max(self.version, version)
 
-    def _set(self, slot: int, number: int, epoch: int, version: int) -> None:
-        old = self._holding[slot]
-        if old != number:
-            self._uses[number] += 1
-            self._uses[old] -= 1
-            self._holding[slot] = number
+    def _set(
+        self, start: int, length: int, number: int, epoch: int, version: int
+    ) -> None:
+        end = start + length
+        self._uses[number] += length
+        for old, uses in Counter(self._holding[start:end]).items():
+            self._uses[old] -= uses
             if not self._uses[old] and old:
                 del self._numbers[self._holdings[old]]
                 self._free.append(old)
-        self._epoch[slot] = epoch
-        self._changed[slot] = version
-        block = slot // BLOCK_SLOTS
-        if version > self._block_changed[block]:
-            self._block_changed[block] = version
+        self._holding[start:end] = array("I", (number,)) * length
+        self._epoch[start:end] = array("Q", (epoch,)) * length
+        self._changed[start:end] = array("Q", (version,)) * length
+        for block in range(start // BLOCK_SLOTS, (end - 1) // BLOCK_SLOTS + 1):
+            if version > self._block_changed[block]:
+                self._block_changed[block] = version
 
     def _number(self, holding: Holding) -> int:
         number = self._numbers.get(holding)
--- a/src/sassafraswharf_bench/cell_scale.py
+++ b/src/sassafraswharf_bench/cell_scale.py
@@ -25,6 +25,7 @@
 
 SERVICE = ServiceName("diary")
 CELL_HOSTS = 200
+CELL_ZONE_HOSTS = 86
 ZONE_HOSTS = 1_029
 SURVIVORS = 1_371
 FIRST_ANNOUNCED_S = 10.0
@@ -51,7 +52,8 @@
     def apply(self, command: commands.Command) -> int:
         """Apply a command and return its index."""
         self.index += 1
-        data = encode_command(command)
+        # Time passes with every command, so that slots are counted each time.
+        data = encode_command(command._replace(at=float(self.index)))
         started = time.perf_counter()
         self.state.apply(self.index, data)
         self.apply_ms.append((time.perf_counter() - started) * 1_000)
@@ -143,20 +145,22 @@
     return {"measure": "first placement", "hosts": CELL_HOSTS} | cell.settle([])
 
 
-def zone_loss() -> dict[str, object]:
+def zone_loss(lost_hosts: int, survivors: int) -> dict[str, object]:
     """Return what the loss of a zone costs if one cell has all of its nodes."""
     cell = Cell()
-    lost = [cell.add_host(number, "zone-0") for number in range(ZONE_HOSTS)]
-    for number in range(ZONE_HOSTS, ZONE_HOSTS + SURVIVORS):
+    lost = [cell.add_host(number, "zone-0") for number in range(lost_hosts)]
+    for number in range(lost_hosts, lost_hosts + survivors):
         cell.add_host(number, f"zone-{1 + number % 2}")
     cell.settle([])
-    return {"measure": "zone lost", "hosts": ZONE_HOSTS} | cell.settle(lost)
+    return {"measure": "zone lost", "hosts": lost_hosts} | cell.settle(lost)
 
 
 def main() -> None:
     """Measure and print."""
-    for measure in (delta_bytes, first_placement, zone_loss):
-        print(json.dumps(measure()), flush=True)
+    print(json.dumps(delta_bytes()))
+    print(json.dumps(first_placement()))
+    print(json.dumps(zone_loss(CELL_ZONE_HOSTS, CELL_HOSTS - CELL_ZONE_HOSTS)))
+    print(json.dumps(zone_loss(ZONE_HOSTS, SURVIVORS)))
 
 
 if __name__ == "__main__":
--- a/tests/cell/test_controller.py
+++ b/tests/cell/test_controller.py
@@ -1,17 +1,28 @@
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import pytest
 
+from sassafraswharf.cell.commands import AssignSlots
+from sassafraswharf.cell.commands import CloseSessions
 from sassafraswharf.cell.commands import CloseSlots
 from sassafraswharf.cell.commands import DrainUpstream
+from sassafraswharf.cell.controller import WORK_PER_TICK
 from sassafraswharf.cell.controller import CellController
 from sassafraswharf.membership.values import UpstreamState
+from sassafraswharf.ownership.hashing import MAX_SLOT_COUNT
 from sassafraswharf.placement.load_view import LoadView
+from sassafraswharf_bench.cell_scale import Cell
 from tests.cell.simulation import SERVICE
 from tests.cell.simulation import SLOTS
 from tests.cell.simulation import Simulation
 
 
+if TYPE_CHECKING:
+    from sassafraswharf.ownership.slot_table import SlotTable
+
+
 def test_settled_cell_needs_no_commands() -> None:
     """Guards against a leader that fills the log or moves slots to and fro."""
     sim = Simulation()
@@ -111,3 +122,47 @@
     new = [c for c in commands if type(c).__name__ == "SetJournalPeers"]
     assert new
     assert all(lost not in c.peers and c.session != lost for c in new)
+
+
+def test_the_work_of_a_tick_is_bounded() -> None:
+    """Guards against placing a zone's slots in one step that blocks the leader."""
+    cell = Cell()
+    sessions = [cell.add_host(number, f"zone-{number % 3}") for number in range(30)]
+    most = slots = ticks = 0
+    lost: list[int] = []
+    for expired in ([], sessions[::3]):
+        lost += expired
+        while cell.orphans() or lost:
+            ticks += 1
+            cell.now += 0.05
+            decided = cell.controller.tick(cell.state, lost, cell.loads, cell.now)
+            lost = []
+            closes = [c for c in decided if isinstance(c, CloseSessions)]
+            assert len(closes) <= 1
+            placed = sum(
+                part.length
+                for command in decided
+                if isinstance(command, AssignSlots)
+                for part in command.assignments
+            )
+            most, slots = max(most, placed), slots + placed
+            for command in decided:
+                cell.apply(command)
+    assert most <= WORK_PER_TICK
+    assert slots == MAX_SLOT_COUNT + cell.state.counters.slots_moved
+    assert ticks < 40
+    table = cell.state.tables[SERVICE]
+    shares = [_slots_of(table, upstream) for upstream in _live(cell)]
+    assert max(shares) - min(shares) <= 2
+
+
+def _slots_of(table: SlotTable, upstream: str) -> int:
+    return len(table.slots_where(lambda holding: holding.upstream == upstream))
+
+
+def _live(cell: Cell) -> list[str]:
+    return [
+        str(upstream.upstream)
+        for upstream in cell.state.upstreams.values()
+        if cell.state.members.may_be_served(upstream.session)
+    ]
