Spread a new service over its upstreams at once

A service that has never had an owner collects upstreams for 1.2 s after the last arrival, at most 2.5 s, before its first assignment. While every owner reports no load, moves have no budget; a load that is not known does not count as none. tests/processes/test_ownership.py had failed once because one host had all slots.

--- a/src/sassafraswharf/cell/controller.py
+++ b/src/sassafraswharf/cell/controller.py
@@ -38,6 +38,9 @@
 
 CELL_ACTOR = "cell"
 REBALANCE_EVERY_S = 1.0
+COLLECT_QUIET_S = 1.2
+"""Three upstreams that announce themselves within two seconds are collected."""
+COLLECT_AT_MOST_S = 2.5
 WORK_PER_TICK = 3_072
 """Slots to place plus upstreams to compare; each takes about 6 µs, and a tick
 must not block the event loop for 50 ms."""
@@ -51,6 +54,14 @@
     work: int
 
 
+class _Collecting(NamedTuple):
+    """The first and the last arrival of an upstream at a new service."""
+
+    began_at: float
+    grown_at: float
+    upstreams: int
+
+
 class CellController:
     """Turns the state, expired leases and loads into commands.
 
@@ -70,6 +81,7 @@
         self.planners: dict[ServiceName, Planner] = {}
         self._planned_at: dict[ServiceName, float] = {}
         self.peers = PeerPlanner()
+        self._collecting: dict[ServiceName, _Collecting] = {}
         self._peers_went_along = False
 
     def configure(self, weights: Weights, limits: PlannerLimits) -> None:
@@ -161,6 +173,8 @@
             and state.members.accepts_slots(u.upstream, u.session, service)
         }
 
+        if not table.version and self._is_collecting(service, set(sessions), now):
+            return _Placed([], 0)
         check = state.orphan_check()
 
         def is_orphaned(holding: Holding) -> bool:
@@ -194,6 +208,25 @@
         # A plan without orphaned slots counts as the work of a whole tick.
         return _Placed(commands, len(orphans) + len(upstreams) if orphans else left)
 
+    def _is_collecting(
+        self, service: ServiceName, present: set[UpstreamId], now: float
+    ) -> bool:
+        """Return whether a service without any owner so far waits for upstreams.
+
+        The first upstream would otherwise get all slots, and the others would
+        get theirs at the pace of the budget.
+        """
+        if not present:
+            return False
+        since = self._collecting.setdefault(service, _Collecting(now, now, 0))
+        if since.upstreams != len(present):
+            since = since._replace(grown_at=now, upstreams=len(present))
+            self._collecting[service] = since
+        return (
+            now - since.grown_at < COLLECT_QUIET_S
+            and now - since.began_at < COLLECT_AT_MOST_S
+        )
+
     def _planner(self, service: ServiceName) -> Planner:
         planner = self.planners.get(service)
         if planner is None:
--- a/src/sassafraswharf/placement/load_view.py
+++ b/src/sassafraswharf/placement/load_view.py
@@ -147,7 +147,11 @@
             speed = measured or (upstream.speed or 1.0) * scale
             load = report.load * RATE_UNIT if report else 0.0
             is_available = upstream.upstream in available
-            loads.append(UpstreamLoad(upstream.upstream, speed, load, is_available))
+            loads.append(
+                UpstreamLoad(
+                    upstream.upstream, speed, load, is_available, report is not None
+                )
+            )
         return loads
 
     def _current(
--- a/src/sassafraswharf/placement/planner.py
+++ b/src/sassafraswharf/placement/planner.py
@@ -32,6 +32,8 @@
 PLAN_LIFETIME_S = 30.0
 CHURN_UNIT = 0.1
 MAX_MOVES_PER_PLAN = 512
+MAX_IDLE_MOVES_PER_PLAN = 1_024
+"""Planning this many moves takes about 20 ms."""
 
 
 class Planner:
@@ -66,7 +68,8 @@
         """Return the moves to start now.
 
         Moves of orphaned slots come first, have no source and no limit. All
-        other moves must be followed by a handover. ``slot_loads`` needs only
+        other moves must be followed by a handover; the budget does not apply
+        to them while the service is idle. ``slot_loads`` needs only
         the slots with more than average load, in requests per second.
         ``orphans`` defaults to the slots of upstreams that are not available
         and of nobody. A slot that was planned to move counts as moved for
@@ -87,13 +90,31 @@
         if not balance.bins:
             return moves
         budget = self._budget(table.slot_count, now)
+        idle = self._is_idle(upstreams, slot_loads)
+        if idle:
+            budget = MAX_IDLE_MOVES_PER_PLAN
         planned_moves = list(self._rebalance(table, balance, budget, set(lost), now))
-        self._tokens -= len(planned_moves)
         for move in planned_moves:
             self._planned[move.slot] = (move.target, now)
-            self._moved_at[move.slot] = now
+        if not idle:
+            self._tokens -= len(planned_moves)
+            self._moved_at.update((move.slot, now) for move in planned_moves)
         return moves + planned_moves
 
+    def _is_idle(
+        self, upstreams: Sequence[UpstreamLoad], slot_loads: Mapping[int, float]
+    ) -> bool:
+        """Return whether every owner reports that it serves nothing.
+
+        No caller waits for a move then, so it uses up no budget and a slot may
+        move again at once.
+        """
+        return not any(slot_loads.values()) and all(
+            load.reported and not load.load
+            for load in upstreams
+            if self.index.slots.get(load.upstream)
+        )
+
     def _orphans(self, table: SlotTable, available: set[UpstreamId]) -> list[int]:
         return table.slots_where(
             lambda holding: (
--- a/src/sassafraswharf/placement/values.py
+++ b/src/sassafraswharf/placement/values.py
@@ -35,13 +35,16 @@
 class UpstreamLoad(NamedTuple):
     """Speed and load of an upstream in requests per second.
 
-    Only an upstream that is ``available`` receives slots.
+    Only an upstream that is ``available`` receives slots. ``reported`` says
+    that its router has sent a report lately: a load of 0 is then measured and
+    not just unknown, as it is for a new leader.
     """
 
     upstream: UpstreamId
     speed: float
     load: float
     available: bool
+    reported: bool = False
 
 
 class Move(NamedTuple):
--- a/src/sassafraswharf_bench/cell_scale.py
+++ b/src/sassafraswharf_bench/cell_scale.py
@@ -36,7 +36,7 @@
 class Cell:
     """A state and a controller; the log applies every command at once."""
 
-    def __init__(self) -> None:
+    def __init__(self, slot_count: int = MAX_SLOT_COUNT) -> None:
         """Start with one service and no upstream."""
         self.state = CellState()
         self.controller = CellController()
@@ -46,7 +46,7 @@
         self.plan_ms: list[float] = []
         self.apply_ms: list[float] = []
         self.largest = 0
-        spec = commands.ServiceSpec(SERVICE, MAX_SLOT_COUNT, admit_any=True)
+        spec = commands.ServiceSpec(SERVICE, slot_count, admit_any=True)
         self.apply(commands.SetServices(1, (spec,)))
 
     def apply(self, command: commands.Command) -> int:
--- a/src/sassafraswharf_bench/placement_compare.py
+++ b/src/sassafraswharf_bench/placement_compare.py
@@ -98,7 +98,7 @@
         """Plan once and apply the moves."""
         sums = load_per_upstream(self.owners, load.slots)
         upstreams = [
-            UpstreamLoad(name, speed, sums.get(name, 0.0), name not in away)
+            UpstreamLoad(name, speed, sums.get(name, 0.0), name not in away, True)
             for name, speed in self.speeds.items()
         ]
         # Nothing is known of the load before the first placement.
--- a/tests/placement/test_planner.py
+++ b/tests/placement/test_planner.py
@@ -148,3 +148,23 @@
     service.table.assign([run], 99).unwrap()
     service.plan(2.0)
     assert read == [9]
+
+
+@pytest.mark.parametrize(
+    ("load", "reported", "is_free"),
+    [(0.0, True, True), (0.0, False, False), (50.0, True, False)],
+)
+def test_only_a_service_that_is_known_to_be_idle_moves_freely(
+    load: float, reported: bool, is_free: bool
+) -> None:
+    """Guards against a new leader that moves all slots before it knows the load."""
+    table = SlotTable("diary", 4_096)
+    table.assign([SlotRun(0, 4_096, "u1", 1, 1, False, ())], 1).unwrap()
+    upstreams = [
+        UpstreamLoad("u1", 100.0, load, True, reported),
+        UpstreamLoad("u2", 100.0, 0.0, True),
+    ]
+    moves = Planner().plan(table, upstreams, {}, 0.0)
+    budget = 4_096 // 4 // 6
+    assert moves
+    assert (len(moves) > budget) == is_free
