--- a/src/sassafraswharf/cell/state.py
+++ b/src/sassafraswharf/cell/state.py
@@ -9,16 +9,22 @@
 from sassafraswharf.audit.trail import AuditTrail
 from sassafraswharf.cell import commands
 from sassafraswharf.cell import slot_changes
+from sassafraswharf.cell import suspect_changes
 from sassafraswharf.cell.codec import decode_command
 from sassafraswharf.cell.codec import encode_reply
 from sassafraswharf.cell.commands import Reply
 from sassafraswharf.cell.commands import SessionOpened
 from sassafraswharf.cell.counters import Counters
 from sassafraswharf.cell.delta import CellDelta
+from sassafraswharf.cell.list_versions import ListVersions
+from sassafraswharf.cell.list_versions import if_changed
 from sassafraswharf.cell.members import Members
 from sassafraswharf.cell.outcome import Outcome
 from sassafraswharf.cell.outcome import accepted
 from sassafraswharf.cell.outcome import refused
+from sassafraswharf.cell.slot_time import KEEPS_SLOT_TIME
+from sassafraswharf.cell.slot_time import SlotTime
+from sassafraswharf.cell.slot_time import remembered
 from sassafraswharf.cell.snapshot import CellSnapshot
 from sassafraswharf.cell.snapshot import decode_snapshot
 from sassafraswharf.cell.snapshot import encode_snapshot
@@ -27,7 +33,6 @@
 from sassafraswharf.membership.transitions import UpstreamEvent
 from sassafraswharf.ownership.hashing import MAX_SLOT_COUNT
 from sassafraswharf.ownership.slot_table import SlotTable
-from sassafraswharf.quarantine.suspect_table import CrashSeen
 from sassafraswharf.quarantine.suspect_table import SuspectTable
 
 
@@ -60,8 +65,8 @@
         self.version = 0
         self.applied_index = 0
         self.last_at = 0.0
-        self._orphaned = 0
-        self._closing = 0
+        self.list_versions = ListVersions()
+        self.slot_time = SlotTime()
 
     @property
     def sessions(self) -> dict[SessionId, Session]:
@@ -87,9 +92,12 @@
         value = decoded.unwrap()
         self._advance(value.at)
         outcome = _HANDLERS[type(value)](self, index, value)
+        self.list_versions = self.list_versions.after(
+            self.members, self.suspects, index
+        )
         if outcome.changed:
             self.version = index
-            self._recount()
+            self.slot_time.is_stale |= type(value) not in KEEPS_SLOT_TIME
         self._audit(index, value, outcome)
         return encode_reply(self._reply(value, outcome))
 
@@ -100,8 +108,13 @@
             and self.members.is_present(holding.upstream)
         )
 
+    def orphan_check(self) -> Callable[[Holding], bool]:
+        """Return ``is_orphaned`` with memory, to be used until the next command."""
+        return remembered(self.is_orphaned)
+
     def delta_since(self, version: int) -> CellDelta:
         """Return what a router at ``version`` lacks."""
+        lists = self.list_versions
         return CellDelta(
             version,
             self.version,
@@ -109,10 +122,10 @@
                 table.delta_since(version, self.version)
                 for table in self.tables.values()
             ),
-            tuple(self.upstreams.values()),
-            tuple(self.sessions.values()),
-            self.suspects.convictions(),
-            self.suspects.suspected(),
+            if_changed(tuple(self.upstreams.values()), lists.upstreams, version),
+            if_changed(tuple(self.sessions.values()), lists.sessions, version),
+            if_changed(self.suspects.convictions(), lists.convictions, version),
+            if_changed(self.suspects.suspected(), lists.suspects, version),
         )
 
     def snapshot(self) -> bytes:
@@ -131,6 +144,7 @@
                 tuple(self.suspects.suspects.values()),
                 tuple(self.suspects.crashes),
                 self.counters,
+                self.list_versions,
             )
         )
 
@@ -149,35 +163,19 @@
         self.trail = AuditTrail(value.trail)
         self.suspects = SuspectTable(value.suspects, value.crashes)
         self.counters = value.counters
-        self._recount()
+        self.list_versions = value.list_versions
+        self.slot_time.is_stale = True
 
     def _advance(self, at: float) -> None:
         # Wall clocks of successive leaders may differ; time never goes back here.
         if at <= self.last_at:
             return
         if self.last_at:
-            elapsed = at - self.last_at
-            self.counters = self.counters._replace(
-                unavailable_slot_s=self.counters.unavailable_slot_s
-                + elapsed * self._orphaned,
-                closing_slot_s=self.counters.closing_slot_s + elapsed * self._closing,
-            )
+            self.slot_time.recount(self.tables, self.services, self.orphan_check())
+            self.counters = self.slot_time.add(self.counters, at - self.last_at)
         self.last_at = at
         self.suspects.expire(at)
 
-    def _recount(self) -> None:
-        orphaned = closing = 0
-        for name, table in self.tables.items():
-            if name not in self.services:
-                continue
-            for holding, slots in table.holdings():
-                if self.is_orphaned(holding):
-                    orphaned += slots
-                elif holding.closing:
-                    closing += slots
-        self._orphaned = orphaned
-        self._closing = closing
-
     def _audit(self, index: int, command: commands.Command, outcome: Outcome) -> None:
         operator = getattr(command, "actor", "")
         if not outcome.changed and not operator:
@@ -251,6 +249,12 @@
         self._forget_sessions()
         return outcome
 
+    def _close_sessions(self, _index: int, command: commands.CloseSessions) -> Outcome:
+        closed = [self.members.close_session(session) for session in command.sessions]
+        self._forget_sessions()
+        subjects = [outcome.subject for outcome in closed if outcome.changed]
+        return accepted(", ".join(subjects), len(subjects))
+
     def _set_peers(self, _index: int, command: commands.SetJournalPeers) -> Outcome:
         return self.members.set_peers(command)
 
@@ -311,14 +315,13 @@
         changed = change(table)
         if not changed:
             return refused(ResultCode.STALE_EPOCH, str(service), "no slot changed")
-        self._forget_sessions()
         return accepted(f"{service}: {changed} slots", changed)
 
     def _close_slots(self, index: int, command: commands.CloseSlots) -> Outcome:
         return self._slots(
             command.service,
             lambda table: slot_changes.close_ranges(
-                table, command, index, self.is_orphaned
+                table, command, index, self.orphan_check()
             ),
         )
 
@@ -328,17 +331,21 @@
         )
 
     def _ready(self, index: int, command: commands.JournalReady) -> Outcome:
-        return self._slots(
+        outcome = self._slots(
             command.service,
             lambda table: slot_changes.journal_ready(table, command, index),
         )
+        # Other changes of slots keep every session named that was named before.
+        self._forget_sessions()
+        return outcome
 
     def _assign(self, index: int, command: commands.AssignSlots) -> Outcome:
         def accepts(upstream: UpstreamId, session: SessionId) -> bool:
             return self.members.accepts_slots(upstream, session, command.service)
 
         def change(table: SlotTable) -> int:
-            done = slot_changes.assign(table, command, index, self.is_orphaned, accepts)
+            check = self.orphan_check()
+            done = slot_changes.assign(table, command, index, check, accepts)
             self.counters = self.counters._replace(
                 slots_assigned=self.counters.slots_assigned + done.assigned,
                 slots_moved=self.counters.slots_moved + done.moved,
@@ -355,33 +362,22 @@
         self.members.forget_sessions(named)
 
     def _crash(self, _index: int, command: commands.ReportCrash) -> Outcome:
-        seen = CrashSeen(command.upstream, command.incarnation)
-        changed = self.suspects.report_crash(
-            seen, command.digests, command.alone, self.last_at
-        )
-        return accepted(_subject(changed), len(changed))
+        return suspect_changes.report_crash(self.suspects, command, self.last_at)
 
     def _clear(self, _index: int, command: commands.ClearSuspects) -> Outcome:
-        cleared = [d for d in command.digests if self.suspects.clear(d)]
-        return accepted(_subject(cleared), len(cleared))
+        return suspect_changes.clear(self.suspects, command)
 
     def _release_suspect(
         self, _index: int, command: commands.ReleaseSuspect
     ) -> Outcome:
-        subject = command.digest.hex()
-        if not self.suspects.release(command.digest):
-            return refused(ResultCode.INVALID_TRANSITION, subject, "not convicted")
-        return accepted(subject)
-
-
-def _subject(digests: list[bytes]) -> str:
-    return " ".join(digest.hex() for digest in digests)
+        return suspect_changes.release(self.suspects, command)
 
 
 _HANDLERS: dict[type[Any], Callable[[CellState, int, Any], Outcome]] = {
     commands.SetServices: CellState._set_services,
     commands.OpenSession: CellState._open_session,
     commands.CloseSession: CellState._close_session,
+    commands.CloseSessions: CellState._close_sessions,
     commands.SetJournalPeers: CellState._set_peers,
     commands.JournalPeersReady: CellState._peers_ready,
     commands.AnnounceUpstream: CellState._announce,
