Let an upstream announce its planned stop

An announcement may say "leaving". The router gives the upstream no new work at once, hands back what waits, and proposes its drain. The answer tells the upstream when it has no slots and no request in flight. The stand-in announces its departure on SIGTERM and waits for that for at most 10 s.

A new process no longer joins while the drain of the one before is pending: it would inherit the drain and be removed with it.

--- a/src/sassafraswharf/router/announcement.py
+++ b/src/sassafraswharf/router/announcement.py
@@ -5,6 +5,7 @@
 from ipaddress import ip_address
 from typing import TYPE_CHECKING
 from typing import Annotated
+from typing import NotRequired
 from typing import TypedDict
 
 import msgspec
@@ -34,7 +35,9 @@
     ``slots`` is how many requests it works on at a time. ``speed`` is relative
     to other upstreams; the system measures the real one. ``checks_grants``
     tells whether it refuses requests of an older epoch. ``incarnation`` must
-    grow with each start of its process, for example the start time.
+    grow with each start of its process, for example the start time. With
+    ``leaving`` it asks for a drain because its process is about to stop; this
+    can't be taken back within an incarnation.
     """
 
     upstream: Name
@@ -45,6 +48,7 @@
     checks_grants: bool
     incarnation: Annotated[int, msgspec.Meta(ge=1, le=2**53 - 1)]
     speed: Annotated[float, msgspec.Meta(gt=0, le=1_000_000)]
+    leaving: NotRequired[bool]
 
 
 def read_announcement(body: bytes) -> Result[Announcement, Failure]:
--- a/src/sassafraswharf/router/local_service.py
+++ b/src/sassafraswharf/router/local_service.py
@@ -106,7 +106,7 @@
             return Failure(ResultCode.SHUTTING_DOWN, f"{self.host} is shutting down")
         if not self.holder.is_valid(self.clock.now()):
             return Failure(ResultCode.LEASE_EXPIRED, f"{self.host} has no valid lease")
-        if runner is None or runner.lost:
+        if runner is None or runner.lost or runner.leaving:
             return not_owner("the upstream")
         if ownership is None:
             return None
@@ -129,7 +129,7 @@
             runner = self.runners.get(upstream)
             if not valid or self.holder.session != session:
                 return False
-            if runner is None or runner.lost:
+            if runner is None or runner.lost or runner.leaving:
                 return False
             return ownership is None or self.still_owns(upstream, ownership)
 
--- a/src/sassafraswharf/router/local_upstreams.py
+++ b/src/sassafraswharf/router/local_upstreams.py
@@ -12,6 +12,7 @@
 from absl import logging
 
 from sassafraswharf.cell.commands import AnnounceUpstream
+from sassafraswharf.cell.commands import DrainUpstream
 from sassafraswharf.cell.commands import SlotsReleased
 from sassafraswharf.cell.commands import UpstreamLost
 from sassafraswharf.identifiers import ServiceName
@@ -46,6 +47,7 @@
 GRANT_REFRESH_S: Final = 2.0
 GRANT_RETRY_S: Final = 0.1
 VIEW_TIMEOUT_S: Final = 1.0
+DRAINABLE_STATES: Final = frozenset({UpstreamState.ANNOUNCED, UpstreamState.ADMITTED})
 SERVED_STATES: Final = frozenset({UpstreamState.ADMITTED, UpstreamState.DRAINING})
 
 
@@ -114,7 +116,7 @@
             incarnation = self.incarnation(upstream, announcement)
             if incarnation > runner.upstream.incarnation:
                 self.service.crashes.on_restart(runner)
-        self.pass_on(upstream, announcement)
+        self.follow_announcement(upstream, announcement)
 
     async def reconcile(self) -> None:
         """Bring runners, grants and releases in line with the view."""
@@ -133,7 +135,7 @@
             self.grant(upstream)
             self.release(upstream)
         for name, announcement in self.announced.items():
-            self.pass_on(name, announcement)
+            self.follow_announcement(name, announcement)
         for runner in self.service.runners.values():
             self.report_lost(runner)
 
@@ -168,6 +170,44 @@
         runner.withdraw()
         self.proposals[f"close {name}"] = asyncio.create_task(close_when_idle(runner))
 
+    def follow_announcement(self, name: UpstreamId, announcement: Announcement) -> None:
+        """Commit what an announcement asks for and the cell has not done yet."""
+        if announcement.get("leaving", False):
+            self.let_leave(name, announcement)
+        else:
+            self.pass_on(name, announcement)
+
+    def let_leave(self, name: UpstreamId, announcement: Announcement) -> None:
+        """Give a leaving upstream no new work, and propose its drain.
+
+        New work stops before the drain is committed, because the process may
+        wait for a limited time only.
+        """
+        incarnation = self.incarnation(name, announcement)
+        runner = self.service.runners.get(name)
+        if (
+            runner is not None
+            and not runner.leaving
+            and runner.upstream.incarnation == incarnation
+        ):
+            runner.leaving = True
+            runner.withdraw()
+        known = self.view.upstreams.get(name)
+        if (
+            known is not None
+            and known.incarnation == incarnation
+            and known.state in DRAINABLE_STATES
+        ):
+            self.propose(f"drain {name}", DrainUpstream(name, name))
+
+    def has_left(self, name: UpstreamId) -> bool:
+        """Return whether an upstream has no slots and no request in flight here."""
+        known = self.view.upstreams.get(name)
+        closing = self.proposals.get(f"close {name}")
+        is_served = known is not None and known.state in SERVED_STATES
+        is_busy = closing is not None and not closing.done()
+        return not is_served and not is_busy and name not in self.service.runners
+
     def pass_on(self, name: UpstreamId, announcement: Announcement) -> None:
         """Commit an announcement that the cell does not know yet."""
         session = self.link.holder.session
@@ -188,6 +228,8 @@
         )
         if known is not None and is_announced(known, command):
             return
+        if known is not None and is_drain_pending(known, command):
+            return
         self.propose(f"announce {name}", command)
 
     def incarnation(self, name: UpstreamId, announcement: Announcement) -> int:
@@ -340,6 +382,16 @@
     )
 
 
+def is_drain_pending(known: Upstream, command: AnnounceUpstream) -> bool:
+    """Return whether a new process must wait for the drain of the one before.
+
+    The drain ends soon, since the old process is reported as lost. A process that
+    joined earlier would inherit the drain and be removed with it.
+    """
+    is_restart = command.incarnation > known.incarnation
+    return is_restart and known.state == UpstreamState.DRAINING
+
+
 def grant_runs(
     table: SlotTable, upstream: Upstream, session: int
 ) -> list[dict[str, object]]:
--- a/src/sassafraswharf/router/router_part.py
+++ b/src/sassafraswharf/router/router_part.py
@@ -252,9 +252,11 @@
         if isinstance(announcement, Err):
             return to_response(refusal(announcement.err_value), "", close=False)
         self.upstreams.announce(announcement.ok_value)
-        known = self.view.upstreams.get(UpstreamId(announcement.ok_value["upstream"]))
+        upstream = UpstreamId(announcement.ok_value["upstream"])
+        known = self.view.upstreams.get(upstream)
         state = "unknown" if known is None else known.state.name.lower()
-        return web.json_response({"code": 0, "state": state})
+        left = self.upstreams.has_left(upstream)
+        return web.json_response({"code": 0, "state": state, "left": left})
 
     def on_health(self) -> web.StreamResponse:
         """Tell whether this router can serve callers."""
--- a/src/sassafraswharf/router/upstream_runner.py
+++ b/src/sassafraswharf/router/upstream_runner.py
@@ -106,6 +106,7 @@
         self.served: Counter[int] = Counter()
         self.completed_at = clock.now()
         self.lost = False
+        self.leaving = False
         self.doubtful = False
         self.idle = asyncio.Event()
         self.idle.set()
--- a/src/sassafraswharf_bench/standin/announcer.py
+++ b/src/sassafraswharf_bench/standin/announcer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 
 from typing import TYPE_CHECKING
 from typing import Any
@@ -16,6 +17,8 @@
 
 ANNOUNCE_EVERY_S = 2.0
 ANNOUNCE_TIMEOUT_S = 1.0
+LEAVE_EVERY_S = 0.1
+LEAVE_TIMEOUT_S = 10.0
 
 
 class Announcer:
@@ -40,16 +43,32 @@
                 await self.announce_once(session)
                 await asyncio.sleep(ANNOUNCE_EVERY_S)
 
-    async def announce_once(self, session: aiohttp.ClientSession) -> None:
-        """Post the announcement once."""
+    async def leave(self) -> None:
+        """Announce the departure until the upstream owns nothing, for at most 10 s."""
+        timeout = aiohttp.ClientTimeout(total=ANNOUNCE_TIMEOUT_S)
+        with contextlib.suppress(TimeoutError):
+            async with (
+                asyncio.timeout(LEAVE_TIMEOUT_S),
+                aiohttp.ClientSession(timeout=timeout) as session,
+            ):
+                while True:
+                    answer = await self.announce_once(session)
+                    if answer.get("left", False):
+                        return
+                    await asyncio.sleep(LEAVE_EVERY_S)
+
+    async def announce_once(self, session: aiohttp.ClientSession) -> dict[str, Any]:
+        """Post the announcement once; return the answer, empty if there is none."""
         announcement = self.describe()
         if announcement is None:
-            return
+            return {}
         try:
             async with session.post(self.url, json=announcement) as response:
                 if response.status < 300:
+                    answer: dict[str, Any] = await response.json()
                     self.sent += 1
-                    return
-        except (aiohttp.ClientError, TimeoutError):
+                    return answer
+        except (aiohttp.ClientError, TimeoutError, ValueError):
             pass
         self.failed += 1
+        return {}
--- a/src/sassafraswharf_bench/standin/upstream.py
+++ b/src/sassafraswharf_bench/standin/upstream.py
@@ -72,14 +72,18 @@
         self.grants = GrantTable(identity.upstream)
         self.started_at = now()
         self.draining_since: float | None = None
+        self.leaving = False
         self.in_flight = 0
         self.counts: Counter[str] = Counter()
 
     def announcement(self) -> dict[str, Any] | None:
         """Return the fields of ``AnnounceUpstream``, or None while silent."""
-        if not self.behaviour.announces or self.draining_since is not None:
+        if not self.behaviour.announces:
             return None
-        return {
+        if self.draining_since is not None and not self.leaving:
+            return None
+        leaving = {"leaving": True} if self.leaving else {}
+        return leaving | {
             "upstream": self.identity.upstream,
             "service": self.identity.service,
             "address": self.identity.address,
--- a/src/sassafraswharf_bench/upstream_standin.py
+++ b/src/sassafraswharf_bench/upstream_standin.py
@@ -64,7 +64,11 @@
 
 
 async def serve(arguments: argparse.Namespace) -> None:
-    """Serve until SIGTERM or SIGINT, then finish the requests in flight."""
+    """Serve until SIGTERM or SIGINT, then leave.
+
+    The departure is announced; the process ends when it owns nothing and the
+    requests in flight are finished.
+    """
     fields = vars(arguments)
     behaviour = changed(Behaviour(), {name: fields[name] for name in Behaviour._fields})
     incarnation = arguments.incarnation
@@ -102,15 +106,17 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    task = None
-    if router is not None:
+    if router is None:
+        await stop.wait()
+    else:
         announcer = Announcer(router, upstream.announcement)
         task = asyncio.create_task(announcer.run())
-    await stop.wait()
-    if task is not None:
+        await stop.wait()
         task.cancel()
         with contextlib.suppress(asyncio.CancelledError):
             await task
+        upstream.leaving = True
+        await announcer.leave()
 
 
 def print_line(content: dict[str, Any]) -> None:
--- /dev/null
+++ b/tests/processes/test_departures.py
@@ -0,0 +1,80 @@
+from __future__ import annotations
+
+import asyncio
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+import pytest
+
+from tests.processes.fleet import FREE
+from tests.processes.fleet import HOSTS
+from tests.processes.fleet import KEYED
+from tests.processes.fleet import WAIT_S
+from tests.processes.fleet import Fleet
+from tests.processes.fleet import Reply
+from tests.processes.fleet import fleet_of
+
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+
+CALLERS = 12
+FLAGS = ("--service-ms=100",)
+PATHS = {KEYED: "", FREE: "/deposits"}
+
+
+async def keep_calling(
+    fleet: Fleet, number: int, service: str, stop: asyncio.Event
+) -> list[Reply]:
+    """Send lookups and at-most-once requests in turn until told to stop."""
+    replies: list[Reply] = []
+    while not stop.is_set():
+        count = len(replies)
+        key = f"/{service}/key-{number}-{count % 7}"
+        host = HOSTS[count % len(HOSTS)].name
+        if count % 2:
+            replies.append(await fleet.call(host, "GET", key))
+            continue
+        path = f"{key}{PATHS[service]}"
+        replies.append(await fleet.call(host, "POST", path, f"id-{number}-{count}"))
+    return replies
+
+
+def state_of(found: Any, upstream: str) -> str:
+    states = {row["upstream"]: row["state"] for row in found["upstreams"]}
+    return str(states[upstream])
+
+
+@pytest.mark.parametrize("service", PATHS)
+def test_an_announced_departure_loses_no_request(service: str, tmp_path: Path) -> None:
+    """Guards against requests that are lost, cut off or repeated by a planned stop.
+
+    The upstream returns with a new incarnation and has to be admitted again.
+    """
+
+    async def scenario() -> None:
+        async with fleet_of(tmp_path, flags=FLAGS, services=(service,)) as fleet:
+            stop = asyncio.Event()
+            calls = [
+                asyncio.create_task(keep_calling(fleet, number, service, stop))
+                for number in range(CALLERS)
+            ]
+            leaving = f"{service}-{HOSTS[1].name}"
+            await fleet.wait_in_flight(leaving, 1)
+            assert await fleet.stop(leaving) == 0
+            state = state_of(await fleet.admin("upstreams"), leaving)
+            await asyncio.sleep(0.5)
+            stop.set()
+            replies = [reply for call in calls for reply in await call]
+            assert {(r.status, r.code) for r in replies} == {(200, 0)}
+            assert len(replies) > CALLERS
+            assert set(fleet.runs().values()) == {1}
+            assert state == "gone"
+            await fleet.restart(HOSTS[1].name)
+            await fleet.wait_until(
+                "upstreams", lambda f: state_of(f, leaving) == "admitted", WAIT_S
+            )
+
+    asyncio.run(scenario())
