Reserve two slots for nested calls and prove it with processes

The stand-in can call another service while it serves (--calls).

The router passed 8 nested levels, each of which reserves a slot: an upstream with 10 slots ran 2 requests from outside at a time, and now runs 8 (20 slots: 12 before, 18 now). Deeper calls are refused when no slot is free.

Also test that a process which joins while the drain of the one before is pending is admitted; without the check it stays gone.

--- a/src/sassafraswharf/router/local_upstreams.py
+++ b/src/sassafraswharf/router/local_upstreams.py
@@ -22,19 +22,18 @@
 from sassafraswharf.ownership.slot_table import ranges_of
 from sassafraswharf.router.freeze_watch import MAX_THAWS
 from sassafraswharf.router.freeze_watch import FreezeWatch
-from sassafraswharf.router.incoming import MAX_NESTED_DEPTH
 from sassafraswharf.router.local_service import NO_SLOT
 from sassafraswharf.router.upstream_runner import UpstreamRunner
+from sassafraswharf.router.upstream_states import grant_runs
+from sassafraswharf.router.upstream_states import is_announced
+from sassafraswharf.router.upstream_states import is_drain_pending
+from sassafraswharf.router.upstream_states import is_same_process
 
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from sassafraswharf.cell.commands import Command
     from sassafraswharf.clock import Clock
     from sassafraswharf.membership.values import Upstream
-    from sassafraswharf.ownership.slot_table import SlotTable
-    from sassafraswharf.ownership.values import SlotRun
     from sassafraswharf.router.announcement import Announcement
     from sassafraswharf.router.control_link import ControlLink
     from sassafraswharf.router.journal_slots import JournalSlots
@@ -47,6 +46,13 @@
 GRANT_REFRESH_S: Final = 2.0
 GRANT_RETRY_S: Final = 0.1
 VIEW_TIMEOUT_S: Final = 1.0
+NESTED_LEVELS: Final = 2
+"""Slots reserved for nested calls where services call each other.
+
+Each level takes a slot away from callers from outside: with 8 levels an upstream
+with 10 slots would run 2 of their requests at a time. Deeper calls are run if a
+slot is free and refused otherwise, so they don't deadlock either.
+"""
 DRAINABLE_STATES: Final = frozenset({UpstreamState.ANNOUNCED, UpstreamState.ADMITTED})
 SERVED_STATES: Final = frozenset({UpstreamState.ADMITTED, UpstreamState.DRAINING})
 
@@ -155,7 +161,7 @@
         in_cycle = upstream.service in self.view.cyclic_services
         return UpstreamRunner(
             upstream,
-            MAX_NESTED_DEPTH if in_cycle else 0,
+            NESTED_LEVELS if in_cycle else 0,
             self.clock,
             self.service.ids,
             self.service.crashes,
@@ -360,51 +366,3 @@
     """Close the connections after the last request in flight has ended."""
     await runner.idle.wait()
     await runner.close()
-
-
-def is_same_process(left: Upstream, right: Upstream) -> bool:
-    """Return whether two descriptions are of one process with one address."""
-    return (left.incarnation, left.address, left.session) == (
-        right.incarnation,
-        right.address,
-        right.session,
-    )
-
-
-def is_announced(known: Upstream, command: AnnounceUpstream) -> bool:
-    """Return whether the cell knows everything that the announcement says."""
-    if known.state in {UpstreamState.LOST, UpstreamState.GONE}:
-        return known.incarnation >= command.incarnation
-    return all(
-        getattr(known, field) == getattr(command, field)
-        for field in AnnounceUpstream._fields
-        if field != "at"
-    )
-
-
-def is_drain_pending(known: Upstream, command: AnnounceUpstream) -> bool:
-    """Return whether a new process must wait for the drain of the one before.
-
-    The drain ends soon, since the old process is reported as lost. A process that
-    joined earlier would inherit the drain and be removed with it.
-    """
-    is_restart = command.incarnation > known.incarnation
-    return is_restart and known.state == UpstreamState.DRAINING
-
-
-def grant_runs(
-    table: SlotTable, upstream: Upstream, session: int
-) -> list[dict[str, object]]:
-    """Return the runs of an upstream that it may serve, as JSON objects."""
-    return [run._asdict() for run in owned_runs(table.runs(), upstream, session)]
-
-
-def owned_runs(
-    runs: Iterable[SlotRun], upstream: Upstream, session: int
-) -> list[SlotRun]:
-    """Return the runs that belong to the upstream under the session."""
-    return [
-        run
-        for run in runs
-        if run.upstream == upstream.upstream and run.session == session
-    ]
--- /dev/null
+++ b/src/sassafraswharf/router/upstream_states.py
@@ -0,0 +1,64 @@
+"""What the cell knows of an upstream, compared with what its router knows."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sassafraswharf.cell.commands import AnnounceUpstream
+from sassafraswharf.membership.values import UpstreamState
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from sassafraswharf.membership.values import Upstream
+    from sassafraswharf.ownership.slot_table import SlotTable
+    from sassafraswharf.ownership.values import SlotRun
+
+
+def is_same_process(left: Upstream, right: Upstream) -> bool:
+    """Return whether two descriptions are of one process with one address."""
+    return (left.incarnation, left.address, left.session) == (
+        right.incarnation,
+        right.address,
+        right.session,
+    )
+
+
+def is_announced(known: Upstream, command: AnnounceUpstream) -> bool:
+    """Return whether the cell knows everything that the announcement says."""
+    if known.state in {UpstreamState.LOST, UpstreamState.GONE}:
+        return known.incarnation >= command.incarnation
+    return all(
+        getattr(known, field) == getattr(command, field)
+        for field in AnnounceUpstream._fields
+        if field != "at"
+    )
+
+
+def is_drain_pending(known: Upstream, command: AnnounceUpstream) -> bool:
+    """Return whether a new process must wait for the drain of the one before.
+
+    The drain ends soon, since the old process is reported as lost. A process that
+    joined earlier would inherit the drain and be removed with it.
+    """
+    is_restart = command.incarnation > known.incarnation
+    return is_restart and known.state == UpstreamState.DRAINING
+
+
+def grant_runs(
+    table: SlotTable, upstream: Upstream, session: int
+) -> list[dict[str, object]]:
+    """Return the runs of an upstream that it may serve, as JSON objects."""
+    return [run._asdict() for run in owned_runs(table.runs(), upstream, session)]
+
+
+def owned_runs(
+    runs: Iterable[SlotRun], upstream: Upstream, session: int
+) -> list[SlotRun]:
+    """Return the runs that belong to the upstream under the session."""
+    return [
+        run
+        for run in runs
+        if run.upstream == upstream.upstream and run.session == session
+    ]
--- a/src/sassafraswharf_bench/standin/upstream.py
+++ b/src/sassafraswharf_bench/standin/upstream.py
@@ -26,6 +26,8 @@
     from collections.abc import Callable
     from pathlib import Path
 
+    from sassafraswharf_bench.standin.nested import NestedCalls
+
 
 NOT_RUN_HEADER = "Sassafraswharf-Not-Run"
 DRAIN_GRACE_S = 2.0
@@ -62,12 +64,14 @@
         runs_file: Path | None = None,
         crash: Callable[[int], Any] = os._exit,
         now: Callable[[], float] = time.monotonic,
+        calls: NestedCalls | None = None,
     ) -> None:
         self.identity = identity
         self.behaviour = behaviour
         self.rng = rng
         self.crash = crash
         self.now = now
+        self.calls = calls
         self.ledger = Ledger(runs_file)
         self.grants = GrantTable(identity.upstream)
         self.started_at = now()
@@ -112,7 +116,8 @@
             return self.not_run(answer)
         if request.query.get("mark") == "cut":
             return await self.cut_short(request, answer)
-        return web.json_response(answer)
+        failed = answer.get("nested", {}).get("status", 200) != 200
+        return web.json_response(answer, status=502 if failed else 200)
 
     def refusal(self, request: web.Request) -> Refusal | None:
         """Return why the request is not run, or None."""
@@ -155,6 +160,10 @@
         await asyncio.sleep(
             service_time_s(self.behaviour, up_for_s, self.in_flight, self.rng)
         )
+        nested = None
+        if self.calls is not None:
+            elapsed_s = self.now() - arrived_at
+            nested = await self.calls.call(request, self.key_of(request), elapsed_s)
         deadline_ms = header_number(request, "Sassafraswharf-Deadline-Ms")
         expired = (
             deadline_ms is not None and self.now() - arrived_at >= deadline_ms / 1000
@@ -164,13 +173,21 @@
         if self.draining_since is not None:
             self.counts["run_while_draining"] += 1
         self.counts["run"] += 1
-        return self.answer(request, body)
+        answer = self.answer(request, body)
+        if nested is not None:
+            answer["nested"] = nested._asdict()
+        return answer
+
+    def key_of(self, request: web.Request) -> str:
+        """Return the path segment with the key, empty if there is none."""
+        segments = request.path.strip("/").split("/")
+        segment = self.identity.key_segment
+        return segments[segment] if segment < len(segments) else ""
 
     def answer(self, request: web.Request, body: bytes) -> dict[str, Any]:
         """Apply the request to the state and return the answer's content."""
         segments = request.path.strip("/").split("/")
-        segment = self.identity.key_segment
-        key = segments[segment] if segment < len(segments) else ""
+        key = self.key_of(request)
         idempotency_key = request.headers.get("Idempotency-Key")
         if request.method == "GET":
             state = self.ledger.lookup(key)
--- a/src/sassafraswharf_bench/upstream_standin.py
+++ b/src/sassafraswharf_bench/upstream_standin.py
@@ -6,7 +6,9 @@
 A request's key is the path segment ``--key-segment`` (counted from 0). A GET is
 a lookup; a POST whose last segment is ``deposits`` is a deposit of the JSON
 body's ``amount``; any other method is a booking. The query ``id`` is repeated
-in the answer. The query ``mark=crash`` ends the process and ``mark=cut`` cuts
+in the answer. With ``--calls PATH`` a request with the query ``nested=n`` calls PATH
+through the router, with ``nested=n-1``, before it is answered; the answer is 502 if
+that call fails. The query ``mark=crash`` ends the process and ``mark=cut`` cuts
 the answer short.
 """
 
@@ -29,6 +31,7 @@
 from sassafraswharf_bench.standin.application import build_application
 from sassafraswharf_bench.standin.behaviour import Behaviour
 from sassafraswharf_bench.standin.behaviour import changed
+from sassafraswharf_bench.standin.nested import NestedCalls
 from sassafraswharf_bench.standin.upstream import Identity
 from sassafraswharf_bench.standin.upstream import Upstream
 
@@ -50,6 +53,7 @@
     parser.add_argument("--connections", type=int, default=130)
     parser.add_argument("--incarnation", type=int, help="default: time in ms")
     parser.add_argument("--key-segment", type=int, default=1)
+    parser.add_argument("--calls", metavar="PATH", help="path with {key}")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--runs-file", type=Path, help="append one line per run")
     for name, value in Behaviour()._asdict().items():
@@ -82,8 +86,15 @@
         incarnation,
         arguments.key_segment,
     )
+    calls = None
+    if arguments.calls is not None and arguments.router is not None:
+        calls = NestedCalls(arguments.router, arguments.calls)
     upstream = Upstream(
-        identity, behaviour, random.Random(arguments.seed), arguments.runs_file
+        identity,
+        behaviour,
+        random.Random(arguments.seed),
+        arguments.runs_file,
+        calls=calls,
     )
     runner = web.AppRunner(
         build_application(upstream),
@@ -99,6 +110,8 @@
     await _announce_until_stopped(upstream, arguments.router)
     upstream.draining_since = upstream.now() - SHUTDOWN_TIMEOUT_S
     await runner.cleanup()
+    if calls is not None:
+        await calls.close()
 
 
 async def _announce_until_stopped(upstream: Upstream, router: str | None) -> None:
--- a/tests/processes/test_departures.py
+++ b/tests/processes/test_departures.py
@@ -78,3 +78,27 @@
             )
 
     asyncio.run(scenario())
+
+
+def test_a_process_that_restarts_during_its_drain_is_admitted(tmp_path: Path) -> None:
+    """Guards against a new process that inherits the drain of the one before."""
+
+    async def scenario() -> None:
+        flags = ("--service-ms=3000", "--slots=4")
+        async with fleet_of(tmp_path, flags=flags, services=(KEYED,)) as fleet:
+            key, owner = await fleet.key_of(lambda _owner: True)
+            name, host = owner["upstream"], owner["host"]
+            call = asyncio.create_task(fleet.call(host, "GET", f"/{KEYED}/{key}"))
+            await fleet.wait_in_flight(name, 1)
+            await fleet.admin(f"upstreams/{name}/drain", {"actor": "op"})
+            old = fleet.processes[name]
+            await fleet.start_stand_in(fleet.stand_ins[name])
+            await asyncio.sleep(0.5)
+            old.kill()
+            await old.wait()
+            await fleet.wait_until(
+                "upstreams", lambda f: state_of(f, name) == "admitted", WAIT_S
+            )
+            assert (await call).code == 0
+
+    asyncio.run(scenario())
