Remove the health hint from the choice of upstreams

Nothing in the product called it. Whether the endpoint is answered at all still serves to find a frozen process.

The table test of the hint goes with the method that it tested.

--- a/src/sassafraswharf/requests/upstream_choice.py
+++ b/src/sassafraswharf/requests/upstream_choice.py
@@ -19,7 +19,6 @@
 EJECT_AFTER_FAILURES = 3
 EJECTED_S = 1.0
 MAX_EJECTED_S = 30.0
-HINT_PENALTY = 4.0
 MAX_DRAWS = 4
 UNMEASURED_WORK_S = 0.005
 
@@ -34,7 +33,6 @@
         "in_flight",
         "service_s",
         "speed",
-        "unhealthy_hint",
     )
 
     def __init__(self, speed: float, now: float) -> None:
@@ -44,7 +42,6 @@
         self.in_flight: dict[int, float] = {}
         self.failures = 0
         self.ejected_until = 0.0
-        self.unhealthy_hint = False
 
 
 class UpstreamChoice:
@@ -54,8 +51,9 @@
     oldest request in flight if that is longer, times the requests in flight
     plus one. The age finds an upstream that froze and finishes nothing.
 
-    The health endpoint is a hint. It has no effect unless this router has seen
-    the upstream fail, and it can only add to the distrust.
+    What the health endpoint of an upstream says has no part in it: the router
+    that chooses sees how its own requests end, while only the router beside the
+    upstream could poll the endpoint.
     """
 
     def __init__(self) -> None:
@@ -109,8 +107,6 @@
             oldest_at = next(iter(record.in_flight.values()))
             service_s = max(service_s, now - oldest_at)
         cost = service_s * (len(record.in_flight) + 1) * (1 + record.failures)
-        if record.unhealthy_hint and record.failures:
-            cost *= HINT_PENALTY
         age_s = now - record.added_at
         if age_s < RAMP_S:
             cost /= RAMP_START + (1 - RAMP_START) * max(age_s, 0.0) / RAMP_S
@@ -151,12 +147,6 @@
         if record is not None:
             record.in_flight.pop(request_id, None)
 
-    def health_hint(self, upstream: UpstreamId, healthy: bool) -> None:
-        """Keep what the health endpoint says of the upstream."""
-        record = self.records.get(upstream)
-        if record is not None:
-            record.unhealthy_hint = not healthy
-
     def _failed(self, record: UpstreamRecord, now: float) -> None:
         record.failures += 1
         excess = record.failures - EJECT_AFTER_FAILURES
--- a/src/sassafraswharf_bench/policy_compare.py
+++ b/src/sassafraswharf_bench/policy_compare.py
@@ -193,8 +193,7 @@
         self.choice.finished(self.names[job.upstream], id(job), failed, now)
 
     def health(self, upstream: int, healthy: bool) -> None:
-        """Pass the hint on."""
-        self.choice.health_hint(self.names[upstream], healthy)
+        """Ignore the report, as the product does."""
 
 
 class OwnWithServiceLimit(Own):
--- a/src/sassafraswharf_bench/standin/behaviour.py
+++ b/src/sassafraswharf_bench/standin/behaviour.py
@@ -26,8 +26,8 @@
     ``service_ms`` is the mean service time at speed 1. Within ``cold_s`` of the
     start service times are multiplied by ``cold_factor``. ``health`` selects
     what ``/-/health`` claims: the truth, always healthy, always sick, or
-    healthy with no load. With ``shed`` off, requests above the slots run anyway
-    and all slow down in proportion.
+    healthy with no load. With ``fails`` every answer is cut short. With ``shed``
+    off, requests above the slots run anyway and all slow down in proportion.
     """
 
     service_ms: float = 5.0
@@ -43,6 +43,7 @@
     honours_deadlines: bool = True
     health: str = "truthful"
     announces: bool = True
+    fails: bool = False
 
 
 def changed(behaviour: Behaviour, change: Mapping[str, Any]) -> Behaviour:
--- a/src/sassafraswharf_bench/standin/upstream.py
+++ b/src/sassafraswharf_bench/standin/upstream.py
@@ -114,7 +114,7 @@
             answer = await asyncio.shield(asyncio.ensure_future(self._counted(work)))
         if isinstance(answer, Refusal):
             return self.not_run(answer)
-        if request.query.get("mark") == "cut":
+        if self.behaviour.fails or request.query.get("mark") == "cut":
             return await self.cut_short(request, answer)
         failed = answer.get("nested", {}).get("status", 200) != 200
         return web.json_response(answer, status=502 if failed else 200)
--- /dev/null
+++ b/tests/processes/test_health_claims.py
@@ -0,0 +1,54 @@
+from __future__ import annotations
+
+import asyncio
+
+from typing import TYPE_CHECKING
+
+from tests.processes.fleet import FREE
+from tests.processes.fleet import fleet_of
+
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+
+CALLERS, ROUNDS = 8, 30
+
+
+def test_a_lying_health_endpoint_does_not_matter(tmp_path: Path) -> None:
+    """Guards against work for a failing upstream, and idling of a working one.
+
+    One upstream cuts every answer short and claims health, another one works and
+    claims sickness. The second must get its share and the first next to nothing.
+    """
+
+    async def scenario() -> None:
+        async with fleet_of(tmp_path, services=(FREE,)) as fleet:
+            claims = {
+                f"{FREE}-a": {"fails": True, "health": "healthy"},
+                f"{FREE}-b": {"health": "sick"},
+            }
+            for name, claim in claims.items():
+                url = f"http://{fleet.addresses[name]}/-/behaviour"
+                async with fleet.client.post(url, json=claim) as response:
+                    assert response.status == 200
+
+            async def caller(number: int) -> list[tuple[int, int]]:
+                found = []
+                for count in range(ROUNDS):
+                    path = f"/{FREE}/key-{number}-{count}"
+                    reply = await fleet.call("c", "GET", path)
+                    found.append((reply.status, reply.code))
+                return found
+
+            callers = [caller(number) for number in range(CALLERS)]
+            replies = [one for found in await asyncio.gather(*callers) for one in found]
+            assert set(replies) == {(200, 0)}
+            runs = {
+                name: (await fleet.state_of(name))["counts"].get("run", 0)
+                for name in fleet.stand_ins
+            }
+            assert runs[f"{FREE}-a"] < len(replies) / 10, runs
+            assert runs[f"{FREE}-b"] > runs[f"{FREE}-c"] / 4, runs
+
+    asyncio.run(scenario())
--- a/tests/requests/test_upstream_choice.py
+++ b/tests/requests/test_upstream_choice.py
@@ -4,8 +4,6 @@
 
 from collections import Counter
 
-import pytest
-
 from sassafraswharf.identifiers import UpstreamId
 from sassafraswharf.requests.upstream_choice import UpstreamChoice
 
@@ -62,30 +60,6 @@
     assert choice.records[A].failures == 0
 
 
-@pytest.mark.parametrize(
-    ("healthy", "own_failure", "changes"),
-    [
-        (True, False, False),
-        (True, True, False),
-        (False, False, False),
-        (False, True, True),
-    ],
-)
-def test_health_hint_only_confirms(
-    healthy: bool, own_failure: bool, changes: bool
-) -> None:
-    """Guards against a health endpoint that lies or lags."""
-    choice = choice_of(1.0, 1.0)
-    if own_failure:
-        choice.started(A, 1, 0.0)
-        choice.finished(A, 1, True, 0.0)
-    before = choice.rank(A, 0.1)
-    choice.health_hint(A, healthy)
-    after = choice.rank(A, 0.1)
-    assert (after > before) is changes
-    assert after >= before
-
-
 def test_ramp_after_a_cold_start() -> None:
     """Guards against a full share for an upstream with cold caches."""
     choice = choice_of(1.0, 1.0)
