--- a/tests/processes/test_health_claims.py
+++ b/tests/processes/test_health_claims.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from tests.processes.fleet import FREE
+from tests.processes.fleet import WAIT_S
 from tests.processes.fleet import fleet_of
 
 
@@ -24,6 +25,13 @@
 
     async def scenario() -> None:
         async with fleet_of(tmp_path, services=(FREE,)) as fleet:
+            await fleet.wait_until(
+                "upstreams",
+                lambda found: (
+                    [row["state"] for row in found["upstreams"]] == ["admitted"] * 3
+                ),
+                WAIT_S,
+            )
             claims = {
                 f"{FREE}-a": {"fails": True, "health": "healthy"},
                 f"{FREE}-b": {"health": "sick"},
