Keep two declared connections free of requests and two open while idle

Requests, grants, drains and health probes share a pool. Where an upstream declared no more connections than slots, its requests could fill the pool: a grant then waited for the slowest request, and the probe of a busy upstream timed out, so that a working process was given up as frozen. The connect probe opened one connection above the declared number. Requests now leave two of the declared connections to them.

--- a/src/sassafraswharf/router/freeze_watch.py
+++ b/src/sassafraswharf/router/freeze_watch.py
@@ -77,7 +77,7 @@
 
     def is_silent(self, runner: UpstreamRunner) -> bool:
         """Return whether requests are in flight and none was answered lately."""
-        if runner.lost or not runner.running:
+        if runner.lost or not runner.running or runner.is_probe_delayed:
             return False
         oldest_at = next(iter(runner.running.values()))
         return self.clock.now() - max(oldest_at, runner.completed_at) > SILENCE_S
--- a/src/sassafraswharf/router/local_upstreams.py
+++ b/src/sassafraswharf/router/local_upstreams.py
@@ -311,6 +311,10 @@
             self.view.changed.notify()
         if upstream.state == UpstreamState.DRAINING:
             await self.send_drain(runner)
+        # A slow health endpoint must not delay the next grant.
+        name = f"warm {upstream.upstream}"
+        if name not in self.proposals or self.proposals[name].done():
+            self.proposals[name] = asyncio.create_task(runner.keep_warm())
 
     async def send_drain(self, runner: UpstreamRunner) -> None:
         """Tell an upstream once that it gets no new work."""
--- a/src/sassafraswharf/router/upstream_runner.py
+++ b/src/sassafraswharf/router/upstream_runner.py
@@ -40,6 +40,15 @@
 
 
 CONNECT_PROBE_S: Final = 0.2
+RESERVED_CONNECTIONS: Final = 2
+"""Declared connections that requests don't use: one of the pool for grants, drains
+and health probes, and one outside the pool for the connect probe. With a full pool
+a grant would wait for the slowest request, and a busy upstream would look frozen.
+"""
+WARM_CONNECTIONS: Final = 2
+"""Kept open while idle; a new connection costs about 1 ms."""
+WARM_TIMEOUT_S: Final = 0.4
+HEALTH_BYTES: Final = 65_536
 MESSAGES: Final = {
     ResultCode.NOT_RUN: "the upstream did not run the request",
     ResultCode.NO_UPSTREAM: "the upstream refuses connections",
@@ -81,7 +90,7 @@
 
     This router is the only way to the upstream, so it knows exactly what is in
     flight. At most the concurrency limit of the admission control is sent at a
-    time, and never more than the declared connections.
+    time, and never more than the declared connections less the reserved ones.
     """
 
     def __init__(
@@ -97,9 +106,11 @@
         self.clock = clock
         self.ids = ids
         self.crashes = crashes
-        slots = max(1, min(upstream.slots, upstream.connections))
+        usable = upstream.connections - RESERVED_CONNECTIONS
+        slots = max(1, min(upstream.slots, usable))
         self.admission = Admission(slots, nested_levels)
-        self.peer = HttpPeer(upstream.address, upstream.connections)
+        self.pool_size = max(1, upstream.connections - 1)
+        self.peer = HttpPeer(upstream.address, self.pool_size)
         self.starts: dict[int, asyncio.Future[bool]] = {}
         self.running: dict[int, float] = {}
         self.running_slots: dict[int, int] = {}
@@ -117,6 +128,27 @@
         self.withdraw()
         await self.peer.close()
 
+    @property
+    def is_probe_delayed(self) -> bool:
+        """Whether a probe would wait for a connection that a request uses."""
+        return len(self.running) >= self.pool_size
+
+    async def keep_warm(self) -> None:
+        """Use a few connections at the same time, so that they stay open.
+
+        It also replaces those that the upstream has closed. What it answers does
+        not matter.
+        """
+        count = 0 if self.running else min(WARM_CONNECTIONS, self.pool_size)
+        await asyncio.gather(
+            *(
+                self.peer.send(
+                    "GET", "/-/health", {}, b"", WARM_TIMEOUT_S, HEALTH_BYTES
+                )
+                for _ in range(count)
+            )
+        )
+
     def withdraw(self) -> None:
         """Hand back all waiting requests as not run."""
         self.resolve(self.admission.withdraw_all(), may_start=False)
