--- a/src/sassafraswharf/router/local_upstreams.py
+++ b/src/sassafraswharf/router/local_upstreams.py
@@ -12,6 +12,7 @@
 from absl import logging
 
 from sassafraswharf.cell.commands import AnnounceUpstream
+from sassafraswharf.cell.commands import DrainUpstream
 from sassafraswharf.cell.commands import SlotsReleased
 from sassafraswharf.cell.commands import UpstreamLost
 from sassafraswharf.identifiers import ServiceName
@@ -21,19 +22,18 @@
 from sassafraswharf.ownership.slot_table import ranges_of
 from sassafraswharf.router.freeze_watch import MAX_THAWS
 from sassafraswharf.router.freeze_watch import FreezeWatch
-from sassafraswharf.router.incoming import MAX_NESTED_DEPTH
 from sassafraswharf.router.permit import NO_SLOT
 from sassafraswharf.router.upstream_runner import UpstreamRunner
+from sassafraswharf.router.upstream_states import grant_runs
+from sassafraswharf.router.upstream_states import is_announced
+from sassafraswharf.router.upstream_states import is_drain_pending
+from sassafraswharf.router.upstream_states import is_same_process
 
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from sassafraswharf.cell.commands import Command
     from sassafraswharf.clock import Clock
     from sassafraswharf.membership.values import Upstream
-    from sassafraswharf.ownership.slot_table import SlotTable
-    from sassafraswharf.ownership.values import SlotRun
     from sassafraswharf.router.announcement import Announcement
     from sassafraswharf.router.control_link import ControlLink
     from sassafraswharf.router.journal_slots import JournalSlots
@@ -50,6 +50,14 @@
 """A grant is valid until the end of the lease, which is renewed as often."""
 GRANT_RETRY_S: Final = 0.1
 VIEW_TIMEOUT_S: Final = 1.0
+NESTED_LEVELS: Final = 2
+"""Slots reserved for nested calls where services call each other.
+
+Each level takes a slot away from callers from outside: with 8 levels an upstream
+with 10 slots would run 2 of their requests at a time. Deeper calls are run if a
+slot is free and refused otherwise, so they don't deadlock either.
+"""
+DRAINABLE_STATES: Final = frozenset({UpstreamState.ANNOUNCED, UpstreamState.ADMITTED})
 SERVED_STATES: Final = frozenset({UpstreamState.ADMITTED, UpstreamState.DRAINING})
 
 
@@ -119,7 +127,7 @@
             incarnation = self.incarnation(upstream, announcement)
             if incarnation > runner.upstream.incarnation:
                 self.service.crashes.on_restart(runner)
-        self.pass_on(upstream, announcement)
+        self.follow_announcement(upstream, announcement)
 
     async def reconcile(self) -> None:
         """Bring runners, grants and releases in line with the view."""
@@ -138,7 +146,7 @@
             self.grant(upstream)
             self.release(upstream)
         for name, announcement in self.announced.items():
-            self.pass_on(name, announcement)
+            self.follow_announcement(name, announcement)
         for runner in self.service.runners.values():
             self.report_lost(runner)
 
@@ -158,7 +166,7 @@
         in_cycle = upstream.service in self.view.cyclic_services
         return UpstreamRunner(
             upstream,
-            MAX_NESTED_DEPTH if in_cycle else 0,
+            NESTED_LEVELS if in_cycle else 0,
             self.clock,
             self.service.ids,
             self.service.crashes,
@@ -174,6 +182,44 @@
         runner.withdraw()
         self.proposals[f"close {name}"] = asyncio.create_task(close_when_idle(runner))
 
+    def follow_announcement(self, name: UpstreamId, announcement: Announcement) -> None:
+        """Commit what an announcement asks for and the cell has not done yet."""
+        if announcement.get("leaving", False):
+            self.let_leave(name, announcement)
+        else:
+            self.pass_on(name, announcement)
+
+    def let_leave(self, name: UpstreamId, announcement: Announcement) -> None:
+        """Give a leaving upstream no new work, and propose its drain.
+
+        New work stops before the drain is committed, because the process may
+        wait for a limited time only.
+        """
+        incarnation = self.incarnation(name, announcement)
+        runner = self.service.runners.get(name)
+        if (
+            runner is not None
+            and not runner.leaving
+            and runner.upstream.incarnation == incarnation
+        ):
+            runner.leaving = True
+            runner.withdraw()
+        known = self.view.upstreams.get(name)
+        if (
+            known is not None
+            and known.incarnation == incarnation
+            and known.state in DRAINABLE_STATES
+        ):
+            self.propose(f"drain {name}", DrainUpstream(name, name))
+
+    def has_left(self, name: UpstreamId) -> bool:
+        """Return whether an upstream has no slots and no request in flight here."""
+        known = self.view.upstreams.get(name)
+        closing = self.proposals.get(f"close {name}")
+        is_served = known is not None and known.state in SERVED_STATES
+        is_busy = closing is not None and not closing.done()
+        return not is_served and not is_busy and name not in self.service.runners
+
     def pass_on(self, name: UpstreamId, announcement: Announcement) -> None:
         """Commit an announcement that the cell does not know yet."""
         session = self.link.holder.session
@@ -194,6 +240,8 @@
         )
         if known is not None and is_announced(known, command):
             return
+        if known is not None and is_drain_pending(known, command):
+            return
         self.propose(f"announce {name}", command)
 
     def incarnation(self, name: UpstreamId, announcement: Announcement) -> int:
@@ -271,6 +319,10 @@
             self.view.changed.notify()
         if upstream.state == UpstreamState.DRAINING:
             await self.send_drain(runner)
+        # A slow health endpoint must not delay the next grant.
+        name = f"warm {upstream.upstream}"
+        if name not in self.proposals or self.proposals[name].done():
+            self.proposals[name] = asyncio.create_task(runner.keep_warm())
 
     def runs_of(self, upstream: Upstream, version: int, session: int) -> GrantRuns:
         """Return the runs of a grant, read from the table once per version."""
@@ -335,39 +387,3 @@
     """Close the connections after the last request in flight has ended."""
     await runner.idle.wait()
     await runner.close()
-
-
-def is_same_process(left: Upstream, right: Upstream) -> bool:
-    """Return whether two descriptions are of one process with one address."""
-    return (left.incarnation, left.address, left.session) == (
-        right.incarnation,
-        right.address,
-        right.session,
-    )
-
-
-def is_announced(known: Upstream, command: AnnounceUpstream) -> bool:
-    """Return whether the cell knows everything that the announcement says."""
-    if known.state in {UpstreamState.LOST, UpstreamState.GONE}:
-        return known.incarnation >= command.incarnation
-    return all(
-        getattr(known, field) == getattr(command, field)
-        for field in AnnounceUpstream._fields
-        if field != "at"
-    )
-
-
-def grant_runs(table: SlotTable, upstream: Upstream, session: int) -> GrantRuns:
-    """Return the runs of an upstream that it may serve, as JSON objects."""
-    return [run._asdict() for run in owned_runs(table.runs(), upstream, session)]
-
-
-def owned_runs(
-    runs: Iterable[SlotRun], upstream: Upstream, session: int
-) -> list[SlotRun]:
-    """Return the runs that belong to the upstream under the session."""
-    return [
-        run
-        for run in runs
-        if run.upstream == upstream.upstream and run.session == session
-    ]
--- a/src/sassafraswharf/router/permit.py
+++ b/src/sassafraswharf/router/permit.py
@@ -61,7 +61,7 @@
 
     def is_valid(self) -> bool:
         """Return whether the request may be sent now."""
-        if self.runner.lost or not self.has_lease():
+        if self.runner.lost or self.runner.leaving or not self.has_lease():
             return False
         upstream = self.runner.upstream
         if self.ownership is None:
--- a/src/sassafraswharf/router/router_part.py
+++ b/src/sassafraswharf/router/router_part.py
@@ -259,9 +259,11 @@
             )
             return to_response(refusal(failure), "", close=True)
         self.upstreams.announce(announcement.ok_value)
-        known = self.view.upstreams.get(UpstreamId(announcement.ok_value["upstream"]))
+        upstream = UpstreamId(announcement.ok_value["upstream"])
+        known = self.view.upstreams.get(upstream)
         state = "unknown" if known is None else known.state.name.lower()
-        return web.json_response({"code": 0, "state": state})
+        left = self.upstreams.has_left(upstream)
+        return web.json_response({"code": 0, "state": state, "left": left})
 
     def is_local(self, remote: str | None, address: str) -> bool:
         """Return whether an announcement comes from this host and is about it.
