--- /dev/null
+++ b/src/sassafraswharf_bench/policies/__init__.py
@@ -0,0 +1,3 @@
+"""Parts of the comparison of policies."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/sassafraswharf_bench/policies/simulation.py
@@ -0,0 +1,255 @@
+"""One service of a deployment under one policy, in virtual time."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections import deque
+from heapq import heappop
+from heapq import heappush
+from itertools import count
+from typing import TYPE_CHECKING
+
+from sassafraswharf.requests.admission import Admission
+from sassafraswharf.requests.admission import Verdict
+from sassafraswharf.requests.outcome import OUTCOMES
+from sassafraswharf.requests.outcome import Exchange
+from sassafraswharf.requests.retry_budget import RetryBudget
+from sassafraswharf.requests.urgency import RequestFacts
+from sassafraswharf_bench.policies.choices import Job
+from sassafraswharf_bench.policies.traffic import DEADLINE_S
+from sassafraswharf_bench.policies.traffic import DURATION_S
+from sassafraswharf_bench.policies.traffic import FALSE_HEALTH
+from sassafraswharf_bench.policies.traffic import FROZEN
+from sassafraswharf_bench.policies.traffic import HEALTH_PERIOD_S
+from sassafraswharf_bench.policies.traffic import OVERLOAD
+from sassafraswharf_bench.policies.traffic import WORK_S
+
+
+if TYPE_CHECKING:
+    from sassafraswharf_bench.policies.choices import Own
+    from sassafraswharf_bench.policies.choices import RoundRobin
+    from sassafraswharf_bench.policies.traffic import Arrival
+    from sassafraswharf_bench.policies.traffic import Shape
+
+
+class Simulation:
+    """One service of a deployment under one policy."""
+
+    def __init__(self, shape: Shape, policy: RoundRobin | Own) -> None:
+        self.shape = shape
+        self.policy = policy
+        self.size = len(shape.speeds)
+        self.admissions = [Admission(shape.slots) for _ in shape.speeds]
+        self.jobs: dict[int, Job] = {}
+        self.working: list[set[Job]] = [set() for _ in shape.speeds]
+        self.backlog: list[deque[Job]] = [deque() for _ in shape.speeds]
+        self.busy_s = [0.0] * self.size
+        self.events: list[tuple[float, int, str, object]] = []
+        self.order = count()
+        self.results: Counter[str] = Counter()
+        self.latencies: list[float] = []
+        self.goodput = 0
+        self.budget = RetryBudget(0.0)
+        self.outstanding = 0
+
+    def run(self, arrivals: list[Arrival]) -> dict[str, float | int | str]:
+        """Play all arrivals and return the measures."""
+        for arrival in arrivals:
+            self.at(arrival.at, "arrive", arrival)
+        for second in range(int(DURATION_S)):
+            self.at(second * HEALTH_PERIOD_S, "health", second)
+        handlers = {
+            "arrive": self.arrive,
+            "finish": self.finish,
+            "timeout": self.timeout,
+            "fail": self.fail,
+            "health": self.health,
+            "thaw": self.thaw,
+        }
+        while self.events:
+            now, _, kind, item = heappop(self.events)
+            handlers[kind](item, now)  # type: ignore[operator]
+        return self.measures(arrivals)
+
+    def at(self, when: float, kind: str, item: object) -> None:
+        """Schedule an event."""
+        heappush(self.events, (when, next(self.order), kind, item))
+
+    def health(self, second: int, now: float) -> None:
+        """Deliver the health reports: the healthy upstream 2 looks faulty."""
+        del second
+        false = FALSE_HEALTH[0] <= now < FALSE_HEALTH[1]
+        self.policy.health(2, not false)
+
+    def arrive(self, arrival: Arrival, now: float) -> None:
+        """Choose an upstream for a request that has arrived."""
+        self.budget.on_request(now)
+        owned = self.shape.keyed or (arrival.booking and self.policy.admits)
+        upstream = arrival.owner if owned else self.policy.choose(now, None)
+        self.outstanding += 1
+        self.offer(Job(arrival, upstream, 1), now)
+
+    def offer(self, job: Job, now: float) -> None:
+        """Admit, queue or refuse an attempt."""
+        arrival = job.arrival
+        deadline_at = arrival.at + DEADLINE_S
+        if not self.policy.admits:
+            upstream = job.upstream
+            load = len(self.working[upstream]) + len(self.backlog[upstream])
+            if load >= self.shape.connections:
+                self.end(job, "refused", now)
+            else:
+                self.start(job, now)
+            return
+        limit = getattr(self.policy, "service_limit", None)
+        capacity = self.size * self.shape.slots
+        if limit and not arrival.booking and self.outstanding > limit * capacity:
+            self.end(job, "refused", now)
+            return
+        facts = RequestFacts(
+            self.shape.service,
+            "booking" if arrival.booking else "lookup",
+            not arrival.booking,
+            0,
+            deadline_at,
+            None,
+            arrival.at,
+        )
+        job_id = arrival.request_id * 4 + job.attempt
+        admission = self.admissions[job.upstream]
+        verdict = admission.offer(job_id, facts, now).verdict
+        if verdict is Verdict.RUN:
+            self.start(job, now)
+        elif verdict is Verdict.WAIT:
+            self.jobs[job_id] = job
+            self.at(deadline_at, "timeout", job)
+        else:
+            self.end(job, "refused", now)
+
+    def start(self, job: Job, now: float) -> None:
+        """Send an attempt to its upstream, which queues beyond its slots."""
+        self.policy.started(job, now)
+        job.service_at = now
+        self.at(job.arrival.at + DEADLINE_S, "timeout", job)
+        if job.upstream == 1 and FALSE_HEALTH[0] <= now < FALSE_HEALTH[1]:
+            self.at(now + 0.001, "fail", job)
+        elif len(self.working[job.upstream]) < self.shape.slots:
+            self.work(job, now)
+        else:
+            self.backlog[job.upstream].append(job)
+
+    def work(self, job: Job, now: float) -> None:
+        """Let the upstream work on an attempt; a frozen one makes no progress."""
+        self.working[job.upstream].add(job)
+        service_s = job.arrival.work_s / self.shape.speeds[job.upstream]
+        finished_at = now + service_s
+        if job.upstream == 0 and now < FROZEN[1] and finished_at > FROZEN[0]:
+            finished_at += FROZEN[1] - max(FROZEN[0], now)
+        self.busy_s[job.upstream] += service_s
+        self.at(finished_at, "finish", job)
+
+    def finish(self, job: Job, now: float) -> None:
+        """Take the answer of an attempt."""
+        self.leave(job, now)
+        if job.done:
+            return
+        self.release(job, Exchange.ANSWERED, now)
+        latency_s = now - job.arrival.at
+        self.end(job, "served", now)
+        if not job.arrival.booking:
+            self.latencies.append(latency_s)
+        if OVERLOAD[0] <= job.arrival.at < OVERLOAD[1]:
+            self.goodput += 1
+
+    def fail(self, job: Job, now: float) -> None:
+        """Handle a lost connection; a lookup is retried within the budget."""
+        if job.done:
+            return
+        self.release(job, Exchange.CONNECTION_LOST, now)
+        job.done = True
+        deadline_at = job.arrival.at + DEADLINE_S
+        retried = job.arrival.booking or self.shape.keyed or job.attempt > 1
+        if not retried and self.budget.try_spend(now, deadline_at, WORK_S):
+            other = self.policy.choose(now, job.upstream)
+            self.offer(Job(job.arrival, other, job.attempt + 1), now)
+        else:
+            self.end(job, "unknown", now)
+
+    def timeout(self, job: Job, now: float) -> None:
+        """End an attempt at its deadline, and cancel it at the upstream."""
+        if job.done:
+            return
+        job_id = job.arrival.request_id * 4 + job.attempt
+        if self.jobs.pop(job_id, None) is not None:
+            self.admissions[job.upstream].expire(now)
+            self.end(job, "expired", now)
+            return
+        if job.service_at == 0.0 and self.policy.admits:
+            return
+        self.release(job, Exchange.TIMED_OUT, now)
+        self.end(job, "unknown", now)
+        frozen = job.upstream == 0 and FROZEN[0] <= now < FROZEN[1]
+        if frozen:
+            self.at(FROZEN[1], "thaw", job)
+        else:
+            self.thaw(job, now)
+
+    def thaw(self, job: Job, now: float) -> None:
+        """Let the upstream see that a request was cancelled."""
+        if job in self.working[job.upstream]:
+            self.leave(job, now)
+        elif job in self.backlog[job.upstream]:
+            self.backlog[job.upstream].remove(job)
+
+    def leave(self, job: Job, now: float) -> None:
+        """Free the upstream's own slot and take the next of its backlog."""
+        if job not in self.working[job.upstream]:
+            return
+        self.working[job.upstream].remove(job)
+        if self.backlog[job.upstream]:
+            self.work(self.backlog[job.upstream].popleft(), now)
+
+    def release(self, job: Job, exchange: Exchange, now: float) -> None:
+        """Report the end of an attempt to the policy and start what follows."""
+        outcome = OUTCOMES[exchange]
+        self.policy.finished(job, outcome.upstream_failed, now)
+        if not self.policy.admits:
+            return
+        job_id = job.arrival.request_id * 4 + job.attempt
+        admission = self.admissions[job.upstream]
+        service_s = now - job.service_at
+        for next_id in admission.finished(job_id, service_s, outcome, now):
+            self.start(self.jobs.pop(next_id), now)
+
+    def end(self, job: Job, result: str, now: float) -> None:
+        """Count the answer to the caller."""
+        del now
+        job.done = True
+        self.outstanding -= 1
+        kind = "booking" if job.arrival.booking else "lookup"
+        self.results[result] += 1
+        self.results[f"{kind}_{result}"] += 1
+
+    def measures(self, arrivals: list[Arrival]) -> dict[str, float | int | str]:
+        """Return the figures of the run."""
+        bookings = sum(arrival.booking for arrival in arrivals)
+        mean_s = sum(self.busy_s) / self.size
+        capacity = sum(self.shape.speeds) * self.shape.slots / WORK_S
+        offered_s = OVERLOAD[1] - OVERLOAD[0]
+        latencies = sorted(self.latencies)
+        return {
+            "arrivals": len(arrivals),
+            "lookup_p50_ms": round(latencies[len(latencies) // 2] * 1000, 1),
+            "lookup_p99_ms": round(latencies[len(latencies) * 99 // 100] * 1000, 1),
+            "lookups_served": round(
+                self.results["lookup_served"] / (len(arrivals) - bookings), 4
+            ),
+            "bookings_served": round(self.results["booking_served"] / bookings, 4),
+            "overload_goodput": round(self.goodput / offered_s / capacity, 3),
+            "imbalance": round(max(self.busy_s) / mean_s, 2),
+            "refused": self.results["refused"] + self.results["expired"],
+            "bookings_not_run": self.results["booking_refused"]
+            + self.results["booking_expired"],
+            "unknown": self.results["unknown"],
+            "bookings_unknown": self.results["booking_unknown"],
+        }
