--- /dev/null
+++ b/src/sassafraswharf_bench/bench/__init__.py
@@ -0,0 +1,3 @@
+"""Benchmarks with bounds."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/sassafraswharf_bench/bench/fleet.py
@@ -0,0 +1,184 @@
+"""Deployments of real processes for the benchmarks."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import time
+
+from pathlib import Path
+from typing import TYPE_CHECKING
+from typing import Any
+
+from sassafraswharf.declare import deployment
+from sassafraswharf.declare import path_key
+from sassafraswharf.declare import service
+from sassafraswharf.declare import weights
+from sassafraswharf_bench.local_deployment import HostSpec
+from sassafraswharf_bench.local_deployment import LocalDeployment
+from sassafraswharf_bench.local_deployment import StandInSpec
+
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+
+WAIT_S = 30.0
+POLL_S = 0.05
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+THREE_HOSTS = (HostSpec("a", "z1"), HostSpec("b", "z2"), HostSpec("c", "z3"))
+CONTROL_HOSTS = (
+    HostSpec("c1", "z1", router=False),
+    HostSpec("c2", "z2", router=False),
+    HostSpec("c3", "z3", router=False),
+)
+FIVE_HOSTS = (
+    *CONTROL_HOSTS,
+    HostSpec("r1", "z1", control=False),
+    HostSpec("r2", "z2", control=False),
+)
+
+
+def document(unavailable: float = 6.0) -> Any:  # noqa: ANN401
+    """Return a configuration with one keyed service.
+
+    The weight of the imbalance is 0, so that slots move only after a loss.
+    """
+    return deployment(
+        weights=weights(unavailable=unavailable, imbalance=0.0, churn=2.0),
+        services=[
+            service(
+                "diary",
+                prefix="/diary",
+                key=path_key(0),
+                repeatable=["GET /*"],
+                at_most_once=["POST /*/bookings", "POST /*/deposits"],
+                deadline_s=5.0,
+                admit="any",
+            )
+        ],
+    )
+
+
+class Fleet(LocalDeployment):
+    """Daemons, and a stand-in beside each named router."""
+
+    def __init__(
+        self,
+        folder: Path,
+        hosts: Sequence[HostSpec],
+        beside: Sequence[str],
+        flags: Sequence[str] = (),
+        daemon: str = "sassafraswharf.daemon.main",
+    ) -> None:
+        """Prepare the processes; ``daemon`` is the module of the daemon."""
+        super().__init__(folder, hosts)
+        self.daemon = daemon
+        self.stand_ins = {
+            host: StandInSpec(f"diary-{host}", "diary", host, tuple(flags))
+            for host in beside
+        }
+
+    async def start_hosts(self, *names: str) -> None:
+        """Start daemons, all of them if no names are given."""
+        for name in names or tuple(self.hosts):
+            path = str(self.folder / f"{name}.json")
+            await self.start(name, (self.daemon, path))
+
+    async def begin(self) -> None:
+        """Start everything and wait until every slot is served."""
+        await self.start_hosts()
+        applied = await self.apply(document(), "first")
+        if applied["code"]:
+            raise RuntimeError(f"the configuration was refused: {applied}")
+        await asyncio.gather(*map(self.start_stand_in, self.stand_ins.values()))
+        await self.wait_until_settled()
+
+    async def wait_until_settled(self) -> Any:  # noqa: ANN401
+        """Wait until all slots are owned and no takeover is pending."""
+        return await self.wait_until("owners", is_settled, WAIT_S)
+
+    async def wait_until_listening(self, host: str) -> None:
+        """Wait until the admin port of a host answers."""
+        path = "status" if self.hosts[host].control else "router"
+        async with asyncio.timeout(WAIT_S):
+            while True:
+                status, _ = await self.ask_admin(host, path, None)
+                if status == 200:
+                    return
+                await asyncio.sleep(POLL_S)
+
+    async def kill_host(self, host: str) -> None:
+        """Kill a daemon and the stand-in beside it."""
+        names = [host]
+        if host in self.stand_ins:
+            names.append(self.stand_ins[host].name)
+        await self.kill(*names)
+
+    async def restart_host(self, host: str) -> None:
+        """Start what has been killed."""
+        await self.start_hosts(host)
+        if host in self.stand_ins:
+            await self.start_stand_in(self.stand_ins[host])
+
+    async def leader(self) -> str:
+        """Return the control host that leads the cell."""
+        async with asyncio.timeout(WAIT_S):
+            while True:
+                for name, host in self.hosts.items():
+                    if host.control and self.processes[name].returncode is None:
+                        _, status = await self.ask_admin(name, "status", None)
+                        if status and status["cells"][0]["leader"] == self.address(
+                            name
+                        ):
+                            return name
+                await asyncio.sleep(POLL_S)
+
+    def address(self, host: str) -> str:
+        """Return the admin address of a host without its scheme."""
+        return self.admin_url(host).removeprefix("http://")
+
+    async def keys_of(self, host: str, count: int) -> list[str]:
+        """Return keys whose owner is beside a host."""
+        found: list[str] = []
+        for number in range(10_000):
+            key = f"key-{number}"
+            owner = await self.admin(f"explain?service=diary&key={key}")
+            if owner["host"] == host:
+                found.append(key)
+            if len(found) == count:
+                return found
+        raise LookupError(f"{host} owns fewer than {count} of the keys")
+
+    def pid(self, name: str) -> int:
+        """Return the id of a process."""
+        return self.processes[name].pid
+
+    def cpu_s(self, name: str) -> float:
+        """Return the processor time of a process in seconds."""
+        return cpu_s(self.pid(name))
+
+
+def cpu_s(pid: int) -> float:
+    """Return the user and system time of a process in seconds."""
+    text = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(text[11]) + int(text[12])) / TICKS_PER_S
+
+
+def resident_mb(pid: int) -> float:
+    """Return the resident memory of a process in units of 10^6 bytes."""
+    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
+
+
+def is_settled(owners: Any) -> bool:  # noqa: ANN401
+    """Return whether every slot is owned and no takeover is pending."""
+    runs = [run for service in owners["services"] for run in service["runs"]]
+    return bool(runs) and all(
+        run["upstream"] and not run["sources"] and not run["closing"] for run in runs
+    )
+
+
+def now() -> float:
+    """Return the time that durations are measured with."""
+    return time.monotonic()
--- /dev/null
+++ b/src/sassafraswharf_bench/bench/idle.py
@@ -0,0 +1,134 @@
+"""Memory, processor time and control traffic of daemons at rest."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import tempfile
+
+from pathlib import Path
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from sassafraswharf_bench.bench.fleet import Fleet
+from sassafraswharf_bench.bench.fleet import now
+from sassafraswharf_bench.bench.fleet import resident_mb
+from sassafraswharf_bench.bench.measure import Bound
+from sassafraswharf_bench.bench.measure import Measure
+from sassafraswharf_bench.bench.measure import rounded
+from sassafraswharf_bench.local_deployment import HostSpec
+
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+
+REST_S = 20.0
+SETTLE_S = 3.0
+POLL_S = 0.02
+HOSTS = (
+    HostSpec("both-1", "z1"),
+    HostSpec("both-2", "z2"),
+    HostSpec("control-1", "z3", router=False),
+    HostSpec("router-1", "z1", control=False),
+    HostSpec("router-2", "z2", control=False),
+)
+BESIDE = ("both-1", "both-2", "router-1", "router-2")
+DAEMON = "sassafraswharf_bench.bench.counting_daemon"
+MEMORY = Bound(64.0, "design 1.5: 64 MB per node")
+SHARE = Bound(4.2, "design 1.5: 4.2% of a core per node")
+TRAFFIC = Bound(2.0, "design 1.5: 2 KB/s per node")
+
+
+class Rest(NamedTuple):
+    """What one daemon used while nothing happened."""
+
+    memory_mb: float
+    core_percent: float
+    sent_kb_s: float
+    received_kb_s: float
+    leads: bool
+
+
+async def sums(fleet: Fleet, host: str, count: int) -> dict[str, int]:
+    """Ask a daemon for its counters, for the ``count``-th time."""
+    path = fleet.folder / f"{host}.json.bytes"
+    fleet.signal(host, signal.SIGUSR1)
+    while True:
+        lines = path.read_text().splitlines()
+        if len(lines) >= count:
+            break
+        await asyncio.sleep(POLL_S)
+    found: dict[str, int] = json.loads(lines[-1])
+    return found
+
+
+async def measure(folder: Path) -> dict[str, Rest]:
+    """Let a deployment rest and return what each daemon used."""
+    async with Fleet(folder, HOSTS, BESIDE, daemon=DAEMON) as fleet:
+        await fleet.begin()
+        await asyncio.sleep(SETTLE_S)
+        leader = await fleet.leader()
+        before = {host: await sums(fleet, host, 1) for host in fleet.hosts}
+        cpu_at = {host: fleet.cpu_s(host) for host in fleet.hosts}
+        started_at = now()
+        await asyncio.sleep(REST_S)
+        elapsed_s = now() - started_at
+        used = {host: fleet.cpu_s(host) - cpu_at[host] for host in fleet.hosts}
+        after = {host: await sums(fleet, host, 2) for host in fleet.hosts}
+        return {
+            host: Rest(
+                resident_mb(fleet.pid(host)),
+                100 * used[host] / elapsed_s,
+                (after[host]["sent"] - before[host]["sent"]) / elapsed_s / 1000,
+                (after[host]["received"] - before[host]["received"]) / elapsed_s / 1000,
+                host == leader,
+            )
+            for host in fleet.hosts
+        }
+
+
+def rows(part: str, found: Sequence[Rest]) -> list[Measure]:
+    """Return the measures of the hosts of one kind; the worst host counts."""
+    lead = "; leads the cell" if any(rest.leads for rest in found) else ""
+    busiest = max(found, key=lambda rest: rest.sent_kb_s + rest.received_kb_s)
+    traffic = busiest.sent_kb_s + busiest.received_kb_s
+    split = f"sent {busiest.sent_kb_s:.2f}, received {busiest.received_kb_s:.2f}"
+    return [
+        Measure(
+            f"{part}: resident memory",
+            rounded(max(rest.memory_mb for rest in found)),
+            "MB",
+            MEMORY,
+            f"worst of {len(found)}",
+        ),
+        Measure(
+            f"{part}: processor time at rest",
+            rounded(max(rest.core_percent for rest in found)),
+            "%",
+            SHARE,
+            f"worst of {len(found)}, {REST_S:.0f} s{lead}",
+        ),
+        Measure(
+            f"{part}: control bytes at rest",
+            rounded(traffic),
+            "KB/s",
+            TRAFFIC,
+            f"{split}{lead}",
+        ),
+    ]
+
+
+def run() -> list[Measure]:
+    """Return the measures per kind of host."""
+    with tempfile.TemporaryDirectory(prefix="sassafraswharf-bench-") as folder:
+        found = asyncio.run(measure(Path(folder)))
+    return [
+        row
+        for part in ("router", "control", "both")
+        for row in rows(
+            f"{part} part" if part != "both" else "both parts",
+            [rest for host, rest in found.items() if host.startswith(part)],
+        )
+    ]
--- a/src/sassafraswharf_bench/local_deployment.py
+++ b/src/sassafraswharf_bench/local_deployment.py
@@ -13,6 +13,7 @@
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import NamedTuple
+from typing import Self
 
 import aiohttp
 
@@ -68,7 +69,7 @@
         for host in hosts:
             self.write_settings(host)
 
-    async def __aenter__(self) -> LocalDeployment:
+    async def __aenter__(self) -> Self:
         """Open the HTTP client."""
         self.session = aiohttp.ClientSession()
         return self
