Spread the slots before load is offered

Without it the upstream that announced itself first owned all slots, and the offered 0.5 of the capacity was 1.5 of what one upstream can serve.

--- a/src/sassafraswharf_bench/bench/fleet.py
+++ b/src/sassafraswharf_bench/bench/fleet.py
@@ -6,12 +6,14 @@
 import os
 import time
 
+from collections import Counter
 from pathlib import Path
 from typing import TYPE_CHECKING
 from typing import Any
 
 from sassafraswharf.declare import deployment
 from sassafraswharf.declare import path_key
+from sassafraswharf.declare import placement
 from sassafraswharf.declare import service
 from sassafraswharf.declare import weights
 from sassafraswharf_bench.local_deployment import HostSpec
@@ -25,6 +27,9 @@
 
 WAIT_S = 30.0
 POLL_S = 0.05
+MOVES_PER_MINUTE = 100_000
+EVEN_SHARE = 0.8
+"""Each upstream owns at least this part of an equal share of the slots."""
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 THREE_HOSTS = (HostSpec("a", "z1"), HostSpec("b", "z2"), HostSpec("c", "z3"))
 CONTROL_HOSTS = (
@@ -39,13 +44,14 @@
 )
 
 
-def document(unavailable: float = 6.0) -> Any:  # noqa: ANN401
+def document(unavailable: float = 6.0, imbalance: float = 0.0) -> Any:  # noqa: ANN401
     """Return a configuration with one keyed service.
 
-    The weight of the imbalance is 0, so that slots move only after a loss.
+    With a weight of 0 for the imbalance slots move only after a loss.
     """
     return deployment(
-        weights=weights(unavailable=unavailable, imbalance=0.0, churn=2.0),
+        weights=weights(unavailable=unavailable, imbalance=imbalance, churn=2.0),
+        placement=placement(moves_per_minute=MOVES_PER_MINUTE),
         services=[
             service(
                 "diary",
@@ -108,6 +114,22 @@
                     return
                 await asyncio.sleep(POLL_S)
 
+    async def spread_slots(self) -> None:
+        """Let the slots move until every stand-in has about an equal share."""
+        applied = await self.apply(document(imbalance=6.0), "spread", base_revision=1)
+        if applied["code"]:
+            raise RuntimeError(f"the configuration was refused: {applied}")
+        await self.wait_until("owners", self.is_spread, WAIT_S)
+
+    def is_spread(self, owners: Any) -> bool:  # noqa: ANN401
+        """Return whether the slots are spread and nothing is being moved."""
+        found: Counter[str] = Counter()
+        for run in owners["services"][0]["runs"]:
+            found[run["upstream"]] += run["length"]
+        least = EVEN_SHARE * found.total() / len(self.stand_ins)
+        names = (spec.name for spec in self.stand_ins.values())
+        return is_settled(owners) and all(found[name] >= least for name in names)
+
     async def kill_host(self, host: str) -> None:
         """Kill a daemon and the stand-in beside it."""
         names = [host]
--- a/src/sassafraswharf_bench/bench/offered_load.py
+++ b/src/sassafraswharf_bench/bench/offered_load.py
@@ -46,6 +46,7 @@
     names = [host.name for host in THREE_HOSTS]
     async with Fleet(folder, THREE_HOSTS, names, flags) as fleet:
         await fleet.begin()
+        await fleet.spread_slots()
         return [await offer(fleet, factor) for factor in FACTORS]
 
 
