--- a/src/sassafraswharf/cell/codec.py
+++ b/src/sassafraswharf/cell/codec.py
@@ -36,6 +36,7 @@
     15: commands.ReportCrash,
     16: commands.ClearSuspects,
     17: commands.ReleaseSuspect,
+    18: commands.ReleaseJournal,
 }
 """Tags are stored in logs: never reuse or renumber one."""
 
--- a/src/sassafraswharf/cell/commands.py
+++ b/src/sassafraswharf/cell/commands.py
@@ -170,6 +170,14 @@
     at: float = 0.0
 
 
+class ReleaseJournal(NamedTuple):
+    """An operator gives up records of a service that can't be read any more."""
+
+    service: ServiceName
+    actor: str
+    at: float = 0.0
+
+
 class ReportCrash(NamedTuple):
     """An upstream crashed while it ran the requests with these digests."""
 
@@ -210,6 +218,7 @@
     | SlotsReleased
     | AssignSlots
     | JournalReady
+    | ReleaseJournal
     | ReportCrash
     | ClearSuspects
     | ReleaseSuspect
--- a/src/sassafraswharf/cell/members.py
+++ b/src/sassafraswharf/cell/members.py
@@ -8,6 +8,7 @@
 from sassafraswharf.cell.outcome import accepted
 from sassafraswharf.cell.outcome import refused
 from sassafraswharf.codes import ResultCode
+from sassafraswharf.journal.replication import read_quorum
 from sassafraswharf.membership.transitions import UpstreamEvent
 from sassafraswharf.membership.transitions import next_state
 from sassafraswharf.membership.values import Session
@@ -57,6 +58,15 @@
         known = self.upstreams.get(upstream)
         return known is not None and known.state not in ABSENT
 
+    def has_lost_journal(self, session: SessionId) -> bool:
+        """Return whether too few members of a session's journal set are left."""
+        known = self.sessions.get(session)
+        if known is None or not known.generation:
+            return False
+        journal_set = {session, *known.peers}
+        live = sum(self.may_be_served(member) for member in journal_set)
+        return live < read_quorum(len(journal_set))
+
     def accepts_slots(
         self, upstream: UpstreamId, session: SessionId, service: ServiceName
     ) -> bool:
--- a/src/sassafraswharf/cell/outcome.py
+++ b/src/sassafraswharf/cell/outcome.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
 from typing import NamedTuple
 
 from sassafraswharf.codes import ResultCode
 
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+
 class Outcome(NamedTuple):
     """What a command did: ``subject`` names what it was about."""
 
@@ -24,3 +29,8 @@
 def refused(code: ResultCode, subject: str, message: str) -> Outcome:
     """Return the outcome of a command that changed nothing."""
     return Outcome(code, subject, 0, message)
+
+
+def subject_of(digests: Iterable[bytes]) -> str:
+    """Return the subject of a command about several requests."""
+    return " ".join(digest.hex() for digest in digests)
--- a/src/sassafraswharf/cell/slot_changes.py
+++ b/src/sassafraswharf/cell/slot_changes.py
@@ -22,6 +22,7 @@
     from sassafraswharf.cell.commands import CloseSlots
     from sassafraswharf.cell.commands import JournalReady
     from sassafraswharf.cell.commands import SlotsReleased
+    from sassafraswharf.cell.members import Members
     from sassafraswharf.identifiers import UpstreamId
     from sassafraswharf.ownership.slot_table import SlotTable
     from sassafraswharf.ownership.values import Holding
@@ -136,6 +137,21 @@
     return sum(run.length for run in runs)
 
 
+def release_journal(table: SlotTable, members: Members, index: int) -> int:
+    """Empty the sources of slots whose records have no quorum left.
+
+    A member whose session is closed has lost its records, unless its host was
+    only frozen. Slots whose records can still be read are left to their owner.
+    """
+    runs: list[SlotRun] = []
+    lost = {source for source in table.sessions() if members.has_lost_journal(source)}
+    for slot in table.slots_where(lambda holding: not lost.isdisjoint(holding.sources)):
+        old = table.at(slot)
+        _extend(runs, slot, old.upstream, old.session, old.epoch, old.closing, ())
+    table.assign(runs, index).unwrap()
+    return sum(run.length for run in runs)
+
+
 def _slots(table: SlotTable, runs: Iterable[SlotRange]) -> Iterable[int]:
     for run in runs:
         if table.covers(run.start, run.length):
--- a/src/sassafraswharf/cell/state.py
+++ b/src/sassafraswharf/cell/state.py
@@ -19,6 +19,7 @@
 from sassafraswharf.cell.outcome import Outcome
 from sassafraswharf.cell.outcome import accepted
 from sassafraswharf.cell.outcome import refused
+from sassafraswharf.cell.outcome import subject_of
 from sassafraswharf.cell.snapshot import CellSnapshot
 from sassafraswharf.cell.snapshot import decode_snapshot
 from sassafraswharf.cell.snapshot import encode_snapshot
@@ -333,6 +334,12 @@
             lambda table: slot_changes.journal_ready(table, command, index),
         )
 
+    def _release_journal(self, index: int, command: commands.ReleaseJournal) -> Outcome:
+        return self._slots(
+            command.service,
+            lambda table: slot_changes.release_journal(table, self.members, index),
+        )
+
     def _assign(self, index: int, command: commands.AssignSlots) -> Outcome:
         def accepts(upstream: UpstreamId, session: SessionId) -> bool:
             return self.members.accepts_slots(upstream, session, command.service)
@@ -349,35 +356,27 @@
         return self._slots(command.service, change)
 
     def _forget_sessions(self) -> None:
-        named: set[SessionId] = set()
-        for table in self.tables.values():
-            named |= table.sessions()
-        self.members.forget_sessions(named)
+        named = (table.sessions() for table in self.tables.values())
+        self.members.forget_sessions(set().union(*named))
 
     def _crash(self, _index: int, command: commands.ReportCrash) -> Outcome:
         seen = CrashSeen(command.upstream, command.incarnation)
         changed = self.suspects.report_crash(
             seen, command.digests, command.alone, self.last_at
         )
-        return accepted(_subject(changed), len(changed))
+        return accepted(subject_of(changed), len(changed))
 
     def _clear(self, _index: int, command: commands.ClearSuspects) -> Outcome:
         cleared = [d for d in command.digests if self.suspects.clear(d)]
-        return accepted(_subject(cleared), len(cleared))
+        return accepted(subject_of(cleared), len(cleared))
 
-    def _release_suspect(
-        self, _index: int, command: commands.ReleaseSuspect
-    ) -> Outcome:
+    def _release(self, _index: int, command: commands.ReleaseSuspect) -> Outcome:
         subject = command.digest.hex()
         if not self.suspects.release(command.digest):
             return refused(ResultCode.INVALID_TRANSITION, subject, "not convicted")
         return accepted(subject)
 
 
-def _subject(digests: list[bytes]) -> str:
-    return " ".join(digest.hex() for digest in digests)
-
-
 _HANDLERS: dict[type[Any], Callable[[CellState, int, Any], Outcome]] = {
     commands.SetServices: CellState._set_services,
     commands.OpenSession: CellState._open_session,
@@ -393,7 +392,8 @@
     commands.SlotsReleased: CellState._released,
     commands.AssignSlots: CellState._assign,
     commands.JournalReady: CellState._ready,
+    commands.ReleaseJournal: CellState._release_journal,
     commands.ReportCrash: CellState._crash,
     commands.ClearSuspects: CellState._clear,
-    commands.ReleaseSuspect: CellState._release_suspect,
+    commands.ReleaseSuspect: CellState._release,
 }
--- a/src/sassafraswharf/console/application.py
+++ b/src/sassafraswharf/console/application.py
@@ -18,6 +18,7 @@
 from sassafraswharf.console.commands import check
 from sassafraswharf.console.commands import drain
 from sassafraswharf.console.commands import explain
+from sassafraswharf.console.commands import journal_release
 from sassafraswharf.console.commands import owners
 from sassafraswharf.console.commands import release
 from sassafraswharf.console.commands import remove
@@ -59,6 +60,12 @@
     ("explain", explain.explain, explain.EXAMPLES, REQUESTS),
     ("suspects", suspects.suspects, suspects.EXAMPLES, REQUESTS),
     ("release", release.release, release.EXAMPLES, REQUESTS),
+    (
+        "journal-release",
+        journal_release.journal_release,
+        journal_release.EXAMPLES,
+        REQUESTS,
+    ),
     ("voters", voters.voters, voters.EXAMPLES, CONTROL),
     ("voter-add", voter_add.voter_add, voter_add.EXAMPLES, CONTROL),
     ("voter-remove", voter_remove.voter_remove, voter_remove.EXAMPLES, CONTROL),
--- a/src/sassafraswharf/control/admin_api.py
+++ b/src/sassafraswharf/control/admin_api.py
@@ -18,6 +18,7 @@
 from sassafraswharf.cell.codec import encode_command
 from sassafraswharf.cell.commands import AdmitUpstream
 from sassafraswharf.cell.commands import DrainUpstream
+from sassafraswharf.cell.commands import ReleaseJournal
 from sassafraswharf.cell.commands import ReleaseSuspect
 from sassafraswharf.cell.commands import RemoveUpstream
 from sassafraswharf.codes import ResultCode
@@ -35,6 +36,7 @@
 from sassafraswharf.failure import Failure
 from sassafraswharf.identifiers import GroupId
 from sassafraswharf.identifiers import ReplicaId
+from sassafraswharf.identifiers import ServiceName
 from sassafraswharf.identifiers import UpstreamId
 from sassafraswharf.router.request_reader import read_body
 
@@ -68,6 +70,7 @@
     ResultCode.CONFIGURATION_CONFLICT: 409,
     ResultCode.CHANGE_ID_REUSED: 409,
     ResultCode.INVALID_TRANSITION: 409,
+    ResultCode.STALE_EPOCH: 409,
     ResultCode.VOTER_CHANGE_REFUSED: 409,
     ResultCode.BODY_TOO_LARGE: 413,
     ResultCode.NOT_LEADER: 421,
@@ -108,6 +111,7 @@
             "/v1/configuration": self.post_configuration,
             "/v1/upstreams/{id}/{action:admit|drain|remove}": self.post_upstream,
             "/v1/suspects/{digest}/release": self.post_release,
+            "/v1/journal/release": self.post_journal_release,
             "/v1/voters": self.post_voters,
         }
         for path, handler in reads.items():
@@ -296,6 +300,18 @@
             return self.refuse_for(self.control.cell_name, failure)
         return web.json_response({"code": 0, "message": "released", "digest": text})
 
+    async def post_journal_release(self, request: web.Request) -> web.Response:
+        """Give up the records of a service that can't be read any more."""
+        service = request.query.get("service", "")
+        actor = await read_actor(request)
+        if isinstance(actor, Err):
+            return refuse(actor.err_value)
+        command = ReleaseJournal(ServiceName(service), actor.ok_value, time.time())
+        failure = await self.commit(command)
+        if failure is not None:
+            return self.refuse_for(self.control.cell_name, failure)
+        return web.json_response({"code": 0, "message": "released", "service": service})
+
     async def commit(self, command: Command) -> Failure | None:
         """Commit a command of an operator in the cell's log."""
         group = self.control.groups[self.control.cell_name]
--- a/src/sassafraswharf/router/journal_slots.py
+++ b/src/sassafraswharf/router/journal_slots.py
@@ -139,6 +139,7 @@
         for slot in new:
             self.known[service, slot] = state
         if not sources:
+            self.keep_found(quorum, service, epoch)
             quorum.own(service, new, epoch, ready=True)
             return
         spans = tuple((run.start, run.length) for run in runs)
@@ -147,6 +148,22 @@
         self.journal.takeovers.append(takeover)
         self.journal.pump()
 
+    def keep_found(
+        self, quorum: JournalQuorum, service: ServiceName, epoch: int
+    ) -> None:
+        """Adopt what unfinished takeovers have found when an operator ends them.
+
+        Less than a quorum was read, but each record that was found still keeps a
+        request from running again.
+        """
+        for takeover in self.journal.takeovers:
+            if (
+                (takeover.service, takeover.epoch) == (service, epoch)
+                and takeover.quorum is quorum
+                and takeover.phase is TakeOverPhase.SEALING
+            ):
+                quorum.adopt(takeover.merged.values(), epoch, self.clock.now())
+
     def set_of(self, source: SessionId) -> JournalSet:
         """Return the journal set in force of a session.
 
--- a/tests/cell/test_state.py
+++ b/tests/cell/test_state.py
@@ -231,3 +231,26 @@
         ("h1", "AnnounceUpstream", 0),
         ("alice", "AdmitUpstream", 4002),
     ]
+
+
+@pytest.mark.parametrize(("ended", "released"), [(0, 0), (1, 0), (2, 8)])
+def test_only_lost_journals_are_released(ended: int, released: int) -> None:
+    """Guards against an operator who gives up records that can still be read."""
+    log = Log()
+    first, second, third, fourth = (log.open(f"h{n}") for n in (1, 2, 3, 4))
+    log.do(commands.SetJournalPeers(first, 1, (second, third)))
+    log.announce(first)
+    log.assign(first)
+    for session in (first, second)[:ended]:
+        log.do(commands.CloseSession(session, "lost"))
+    if not ended:
+        log.do(LOST)
+    log.announce(fourth, host="h4", name="u4")
+    log.assign(fourth, "u4")
+    table = log.state.tables[SERVICE]
+    assert table.at(0).sources == (first,)
+    reply = log.do(commands.ReleaseJournal(SERVICE, "op"))
+    assert (reply.changed, reply.code) == (released, 0 if released else 4003)
+    assert table.at(0).sources == (() if released else (first,))
+    entry = log.state.trail.entries[-1]
+    assert (entry.actor, entry.action) == ("op", "ReleaseJournal")
--- a/tests/console/test_application.py
+++ b/tests/console/test_application.py
@@ -93,6 +93,7 @@
         (["drain", "a", "--cell", "c2"], "/v1/upstreams/a/drain?cell=c2", {}),
         (["remove", "a"], "/v1/upstreams/a/remove", {}),
         (["release", "9f"], "/v1/suspects/9f/release", {}),
+        (["journal-release", "s"], "/v1/journal/release?service=s", {}),
         (
             ["voter-add", "r:1", "--group", "g"],
             "/v1/voters?group=g",
