Let each service choose how long its records are kept

retention_s of a service (60 to 600, default 600) goes into each intent and with the record to all members, which need no configuration. It must be at least twice deadline_s: a record has to outlive the attempt that it is about. A takeover without a quorum still waits for the longest retention time.

--- a/src/sassafraswharf/configuration/documents.py
+++ b/src/sassafraswharf/configuration/documents.py
@@ -19,6 +19,7 @@
 DEFAULT_SLOT_COUNT: Final = 4_096
 MAX_SLOT_COUNT: Final = 65_536
 DEFAULT_DEADLINE_S: Final = 5.0
+DEFAULT_RETENTION_S: Final = 600
 DEFAULT_BODY_BYTES: Final = 1_048_576
 MAX_BODY_BYTES: Final = 67_108_864
 DEFAULT_MOVES_PER_MINUTE: Final = 0
@@ -83,6 +84,7 @@
     max_body_bytes: Annotated[int, msgspec.Meta(ge=0, le=MAX_BODY_BYTES)]
     admit: Literal["any", "operator"]
     calls: Annotated[list[Name], msgspec.Meta(max_length=256)]
+    retention_s: Annotated[int, msgspec.Meta(ge=60, le=600)]
 
 
 class WeightsDocument(TypedDict):
@@ -118,6 +120,7 @@
         "max_body_bytes": DEFAULT_BODY_BYTES,
         "admit": "operator",
         "calls": [],
+        "retention_s": DEFAULT_RETENTION_S,
     },
     PlacementDocument: {
         "moves_per_minute": DEFAULT_MOVES_PER_MINUTE,
--- a/src/sassafraswharf/configuration/validation.py
+++ b/src/sassafraswharf/configuration/validation.py
@@ -82,6 +82,10 @@
         field = f"services[{position}]"
         yield from _key_problems(service["key"], f"{field}.key")
         yield from _operation_problems(service, f"{field}.operations")
+        # A record must outlive the attempt that it is about.
+        if service["retention_s"] < 2 * service["deadline_s"]:
+            reason = "must be at least twice deadline_s"
+            yield _invalid(f"{field}.retention_s", reason)
 
 
 def _name_problems(services: list[ServiceDocument]) -> Iterator[Problem]:
--- a/src/sassafraswharf/declare.py
+++ b/src/sassafraswharf/declare.py
@@ -47,6 +47,7 @@
 from sassafraswharf.configuration.documents import DEFAULT_DEADLINE_S
 from sassafraswharf.configuration.documents import DEFAULT_MINIMUM_BENEFIT
 from sassafraswharf.configuration.documents import DEFAULT_MOVES_PER_MINUTE
+from sassafraswharf.configuration.documents import DEFAULT_RETENTION_S
 from sassafraswharf.configuration.documents import DEFAULT_SLOT_COUNT
 from sassafraswharf.configuration.documents import DeploymentDocument
 from sassafraswharf.configuration.documents import KeyRule
@@ -104,6 +105,7 @@
     max_body_bytes: int = DEFAULT_BODY_BYTES,
     admit: Literal["any", "operator"] = "operator",
     calls: Sequence[str] = (),
+    retention_s: int = DEFAULT_RETENTION_S,
 ) -> ServiceDocument:
     """Declare a service; ``key=None`` declares one that is not partitioned.
 
@@ -125,6 +127,7 @@
         "max_body_bytes": max_body_bytes,
         "admit": admit,
         "calls": list(calls),
+        "retention_s": retention_s,
     }
 
 
--- a/src/sassafraswharf/journal/intent.py
+++ b/src/sassafraswharf/journal/intent.py
@@ -13,6 +13,10 @@
 from sassafraswharf.identifiers import SessionId  # noqa: TC001
 
 
+RETENTION_S = 600
+"""The longest retention time, and the one of services that declare none."""
+
+
 class RecordState(IntEnum):
     """What is known of an attempt."""
 
@@ -46,7 +50,8 @@
     ``attempt`` increases with each attempt of a session, for any key, and a key
     has a later attempt only after the previous one was certainly not run.
     ``body_digest`` covers everything that makes two requests the same one:
-    method, path, query and body.
+    method, path, query and body. ``retention_s`` goes with the record, so that all
+    members keep it equally long whatever configuration they know.
     """
 
     service: ServiceName
@@ -56,6 +61,7 @@
     epoch: int
     owner: SessionId
     attempt: int
+    retention_s: int = RETENTION_S
 
 
 class Record(NamedTuple):
@@ -68,9 +74,19 @@
     epoch: int
     owner: SessionId
     attempt: int
+    retention_s: int
     state: RecordState
     answer: bytes
 
+    @property
+    def keep_s(self) -> float:
+        """How long a member keeps the record by its own clock.
+
+        Clock rates may differ by 5%, and no host may drop a record before its
+        retention time has passed on any other one.
+        """
+        return self.retention_s / 0.95
+
     @property
     def key(self) -> JournalKey:
         """The identity of the record."""
--- a/src/sassafraswharf/journal/journal_quorum.py
+++ b/src/sassafraswharf/journal/journal_quorum.py
@@ -25,6 +25,7 @@
 from sassafraswharf.journal.decision import JournalEvent
 from sassafraswharf.journal.decision import Phase
 from sassafraswharf.journal.decision import SlotState
+from sassafraswharf.journal.intent import RETENTION_S
 from sassafraswharf.journal.intent import Intent
 from sassafraswharf.journal.intent import RecordState
 from sassafraswharf.journal.intent import record_of
@@ -70,6 +71,7 @@
         self.store = store
         self.replication = Replication(session, store)
         self.slots: dict[tuple[ServiceName, int], SlotState] = {}
+        self.retentions: dict[ServiceName, int] = {}
         self.attempts: dict[JournalKey, Attempt] = {}
         self.events: list[JournalEvent] = []
         self.lease_expires_at = float("-inf")
@@ -293,7 +295,9 @@
         known = self.store.get(key, now)
         number = self._next_attempt(0 if known is None else known.attempt)
         epoch = self.slots[key[:2]].epoch
-        record = record_of(Intent(*key, digest, epoch, self.session, number))
+        retention_s = self.retentions.get(key.service, RETENTION_S)
+        intent = Intent(*key, digest, epoch, self.session, number, retention_s)
+        record = record_of(intent)
         record = record._replace(state=state)
         recorded = self.store.record_outcome(record, now)
         if isinstance(recorded, Err):
--- a/src/sassafraswharf/journal/journal_store.py
+++ b/src/sassafraswharf/journal/journal_store.py
@@ -12,6 +12,7 @@
 
 from sassafraswharf.codes import ResultCode
 from sassafraswharf.failure import Failure
+from sassafraswharf.journal.intent import RETENTION_S
 from sassafraswharf.journal.intent import Intent
 from sassafraswharf.journal.intent import JournalKey
 from sassafraswharf.journal.intent import Record
@@ -33,9 +34,7 @@
     from sassafraswharf.identifiers import SessionId
 
 
-RETENTION_S = 600.0
-# Clock rates may differ by 5%, and no host may drop a record before 600 s have
-# passed on any other one.
+# After this time no member holds a record that it might still hand out.
 KEEP_S = RETENTION_S / 0.95
 MAX_BYTES = 16 * 1024 * 1024
 # New intents stop at three quarters, so that a takeover still finds room.
@@ -110,9 +109,10 @@
     def get(self, key: JournalKey, now: float) -> Record | None:
         """Return the record of a key that is still retained."""
         recorded_at = self.recorded_at.get(key)
-        if recorded_at is None or now - recorded_at >= KEEP_S:
+        if recorded_at is None:
             return None
-        return self.slots[key[:2]][key]
+        record = self.slots[key[:2]][key]
+        return record if now - recorded_at < record.keep_s else None
 
     def records_of(self, owner: SessionId) -> Iterator[Record]:
         """Return the records that belong to an owner."""
@@ -137,11 +137,12 @@
             recorded_at = self.recorded_at.get(key)
             if recorded_at is None:
                 continue
-            if recorded_at + KEEP_S > now:
-                heappush(self.expiries, (recorded_at + KEEP_S, key))
+            records = self.slots[key[:2]]
+            expires_at = recorded_at + records[key].keep_s
+            if expires_at > now:
+                heappush(self.expiries, (expires_at, key))
                 continue
             del self.recorded_at[key]
-            records = self.slots[key[:2]]
             self.bytes -= records.pop(key).size
             if not records:
                 del self.slots[key[:2]]
@@ -209,7 +210,7 @@
         if known is None or known.precedence < record.precedence:
             self.recorded_at[key] = now - max(0.0, age_s)
         if known is None:
-            heappush(self.expiries, (self.recorded_at[key] + KEEP_S, key))
+            heappush(self.expiries, (self.recorded_at[key] + record.keep_s, key))
         return ResultCode.OK
 
     def _fitted(self, record: Record, known: Record | None) -> Record:
--- a/src/sassafraswharf/router/journal_slots.py
+++ b/src/sassafraswharf/router/journal_slots.py
@@ -65,6 +65,7 @@
         quorum = self.journal.quorum
         if quorum is None:
             return
+        quorum.retentions = self.view.retentions
         self.follow_set(quorum)
         if self.seen != (session, self.view.version):
             self.seen = (session, self.view.version)
--- a/src/sassafraswharf/router/view.py
+++ b/src/sassafraswharf/router/view.py
@@ -9,6 +9,7 @@
 
 from sassafraswharf.cell.view import CellView
 from sassafraswharf.configuration.validation import decode_document
+from sassafraswharf.identifiers import ServiceName
 from sassafraswharf.membership.values import SessionState
 from sassafraswharf.membership.values import UpstreamState
 from sassafraswharf.requests.classification import compile_services
@@ -22,7 +23,6 @@
     from sassafraswharf.cell.delta import CellDelta
     from sassafraswharf.configuration.documents import ServiceDocument
     from sassafraswharf.failure import Failure
-    from sassafraswharf.identifiers import ServiceName
     from sassafraswharf.identifiers import UpstreamId
     from sassafraswharf.requests.classification import RequestMatcher
 
@@ -40,6 +40,7 @@
         self.revision = 0
         self.matcher: RequestMatcher = compile_services([]).unwrap()
         self.services: dict[str, ServiceDocument] = {}
+        self.retentions: dict[ServiceName, int] = {}
         self.cyclic_services: set[ServiceName] = set()
         self.available: dict[ServiceName, tuple[UpstreamId, ...]] = {}
         self.changed = ChangeSignal()
@@ -59,6 +60,9 @@
             return matcher
         self.matcher = matcher.ok_value
         self.services = {service["name"]: service for service in services}
+        self.retentions = {
+            ServiceName(service["name"]): service["retention_s"] for service in services
+        }
         self.cyclic_services = services_in_call_cycles(services)
         self.revision = revision
         self.changed.notify()
--- a/src/sassafraswharf_bench/decision_cost.py
+++ b/src/sassafraswharf_bench/decision_cost.py
@@ -99,6 +99,7 @@
             "max_body_bytes": 1000,
             "admit": "any",
             "calls": [],
+            "retention_s": 600,
         }
         for number in range(services)
     ]
--- a/tests/journal/test_journal_store.py
+++ b/tests/journal/test_journal_store.py
@@ -136,6 +136,20 @@
     assert not member.slots
 
 
+def test_each_record_has_its_own_retention() -> None:
+    """Guards against members that drop a record at different times."""
+    member = store()
+    short = record(INTENT, key="short")._replace(retention_s=60)
+    received = decode_batch(encode(batch(short, record(INTENT)))).unwrap()
+    member.handle(received, 0.0)
+    assert member.get(short.key, 63.0) == short
+    assert member.get(short.key, 64.0) is None
+    member.drop_expired(64.0)
+    assert member.get(KEY, 631.0) is not None
+    member.drop_expired(632.0)
+    assert member.bytes == 0
+
+
 def test_full_store_refuses_intents_and_keeps_outcomes() -> None:
     """Guards against a record dropped, or an outcome lost, for want of room."""
     member = store()
