--- a/src/sassafraswharf/cell/commands.py
+++ b/src/sassafraswharf/cell/commands.py
@@ -178,6 +178,14 @@
     at: float = 0.0
 
 
+class ReleaseJournal(NamedTuple):
+    """An operator gives up records of a service that can't be read any more."""
+
+    service: ServiceName
+    actor: str
+    at: float = 0.0
+
+
 class ReportCrash(NamedTuple):
     """An upstream crashed while it ran the requests with these digests."""
 
@@ -219,6 +227,7 @@
     | SlotsReleased
     | AssignSlots
     | JournalReady
+    | ReleaseJournal
     | ReportCrash
     | ClearSuspects
     | ReleaseSuspect
--- a/src/sassafraswharf/cell/slot_changes.py
+++ b/src/sassafraswharf/cell/slot_changes.py
@@ -25,6 +25,7 @@
     from sassafraswharf.cell.commands import CloseSlots
     from sassafraswharf.cell.commands import JournalReady
     from sassafraswharf.cell.commands import SlotsReleased
+    from sassafraswharf.cell.members import Members
     from sassafraswharf.identifiers import UpstreamId
     from sassafraswharf.ownership.slot_table import SlotTable
 
@@ -167,5 +168,20 @@
     return sum(run.length for run in runs)
 
 
+def release_journal(table: SlotTable, members: Members, index: int) -> int:
+    """Empty the sources of slots whose records have no quorum left.
+
+    A member whose session is closed has lost its records, unless its host was
+    only frozen. Slots whose records can still be read are left to their owner.
+    """
+    lost = {source for source in table.sessions() if members.has_lost_journal(source)}
+    slots = table.slots_where(lambda holding: not lost.isdisjoint(holding.sources))
+    return _write(
+        table,
+        index,
+        (run._replace(sources=()) for run in table.stretches(ranges_of(slots))),
+    )
+
+
 def _holding_of(run: SlotRun) -> Holding:
     return Holding(run.upstream, run.session, run.closing, run.sources)
--- a/src/sassafraswharf/cell/state.py
+++ b/src/sassafraswharf/cell/state.py
@@ -339,6 +339,12 @@
         self._forget_sessions()
         return outcome
 
+    def _release_journal(self, index: int, command: commands.ReleaseJournal) -> Outcome:
+        return self._slots(
+            command.service,
+            lambda table: slot_changes.release_journal(table, self.members, index),
+        )
+
     def _assign(self, index: int, command: commands.AssignSlots) -> Outcome:
         def accepts(upstream: UpstreamId, session: SessionId) -> bool:
             return self.members.accepts_slots(upstream, session, command.service)
@@ -356,10 +362,8 @@
         return self._slots(command.service, change)
 
     def _forget_sessions(self) -> None:
-        named: set[SessionId] = set()
-        for table in self.tables.values():
-            named |= table.sessions()
-        self.members.forget_sessions(named)
+        named = (table.sessions() for table in self.tables.values())
+        self.members.forget_sessions(set().union(*named))
 
     def _crash(self, _index: int, command: commands.ReportCrash) -> Outcome:
         return suspect_changes.report_crash(self.suspects, command, self.last_at)
@@ -389,6 +393,7 @@
     commands.SlotsReleased: CellState._released,
     commands.AssignSlots: CellState._assign,
     commands.JournalReady: CellState._ready,
+    commands.ReleaseJournal: CellState._release_journal,
     commands.ReportCrash: CellState._crash,
     commands.ClearSuspects: CellState._clear,
     commands.ReleaseSuspect: CellState._release_suspect,
--- a/tests/processes/test_departures.py
+++ b/tests/processes/test_departures.py
@@ -88,7 +88,7 @@
     async def scenario() -> None:
         flags = ("--service-ms=3000", "--slots=4")
         async with fleet_of(tmp_path, flags=flags, services=(KEYED,)) as fleet:
-            key, owner = await fleet.key_of(lambda _owner: True)
+            key, owner = await fleet.owned_key()
             name, host = owner["upstream"], owner["host"]
             call = asyncio.create_task(fleet.call(host, "GET", f"/{KEYED}/{key}"))
             await fleet.wait_in_flight(name, 1)
--- a/tests/processes/test_nested_calls.py
+++ b/tests/processes/test_nested_calls.py
@@ -88,7 +88,7 @@
     async def scenario() -> None:
         async with mutual_fleet(tmp_path, 800, declared=True) as fleet:
             await fleet.begin()
-            key, owner = await fleet.key_of(lambda _owner: True)
+            key, owner = await fleet.owned_key()
             claims = [
                 f"{owner['host']}.1.0.0000000000000000",
                 f"{owner['host']}.1.0.",
