--- a/src/sassafraswharf/daemon/main.py
+++ b/src/sassafraswharf/daemon/main.py
@@ -4,6 +4,7 @@
 
 import argparse
 import asyncio
+import gc
 import signal
 import sys
 
@@ -25,6 +26,10 @@
 
 EXIT_SETTINGS = 2
 EXIT_START = 3
+GC_THRESHOLDS = 10_000, 10, 10
+"""Requests are freed by their reference counts. With the default of 700 new
+objects the collector looked through them so often that it took a tenth of the
+processor time of a lookup."""
 
 
 def main() -> None:
@@ -61,6 +66,7 @@
         logging.error("can't start: %s", error)
         await process.stop()
         return EXIT_START
+    reduce_collections()
     logging.info("%s is running", settings["host"])
     await stop.wait()
     logging.info("%s stops", settings["host"])
@@ -69,5 +75,12 @@
     return 0
 
 
+def reduce_collections() -> None:
+    """Collect garbage less often, and never among what the start has created."""
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*GC_THRESHOLDS)
+
+
 if __name__ == "__main__":
     main()
