--- a/src/sassafraswharf_bench/sizing/checks.py
+++ b/src/sassafraswharf_bench/sizing/checks.py
@@ -31,7 +31,7 @@
     """
     if needed <= limit:
         return "met"
-    return f"not met: {needed / limit:.2g} times the limit"
+    return f"not met: {needed / limit:.3g} times the limit"
 
 
 def check_rows(
--- a/src/sassafraswharf_bench/slopes/mailboxes.py
+++ b/src/sassafraswharf_bench/slopes/mailboxes.py
@@ -37,8 +37,9 @@
 
 
 async def _receive_all(socket: Any) -> None:  # noqa: ANN401
+    authenticator = wire.authenticator(wire.LEADER)
     while True:
-        wire.unseal(await socket.arecv())
+        wire.unseal(authenticator, await socket.arecv())
 
 
 async def send(address: str, rate: float, seconds: float) -> None:
@@ -46,11 +47,12 @@
     loop = asyncio.get_running_loop()
     with pynng.Push0() as socket:
         socket.dial(f"tcp://{address}", block=True)
+        authenticator = wire.authenticator(wire.HOST, time.time_ns())
         count = round(rate * seconds)
         started_at, cpu_at = loop.time(), time.process_time()
         for number in range(count):
             await asyncio.sleep(max(0.0, started_at + number / rate - loop.time()))
-            await socket.asend(wire.seal("host", number, wire.renewal(number)))
+            await socket.asend(wire.seal_renewal(authenticator))
         await asyncio.sleep(SETTLE_S)
         report({"cpu_s": time.process_time() - cpu_at})
 
--- a/src/sassafraswharf_bench/slopes/renewals.py
+++ b/src/sassafraswharf_bench/slopes/renewals.py
@@ -8,6 +8,9 @@
 
 from typing import Any
 
+from sassafraswharf.leases.messages import LeaseAck
+from sassafraswharf.leases.messages import LeaseRenewal
+from sassafraswharf.transport.messages import decode
 from sassafraswharf_bench.slopes import wire
 from sassafraswharf_bench.slopes.child import Child
 from sassafraswharf_bench.slopes.child import answer_usage
@@ -26,7 +29,7 @@
 
     def __init__(self) -> None:
         self.renewed_at: dict[int, float] = {}
-        self.sequences: dict[str, int] = {}
+        self.authenticator = wire.authenticator(wire.LEADER)
         self.transport: asyncio.DatagramTransport | None = None
 
     def connection_made(self, transport: Any) -> None:  # noqa: ANN401
@@ -35,13 +38,10 @@
 
     def datagram_received(self, data: bytes, address: tuple[str, int]) -> None:
         """Handle one renewal."""
-        envelope = wire.unseal(data)
-        if envelope.sequence <= self.sequences.get(envelope.sender, 0):
-            return
-        self.sequences[envelope.sender] = envelope.sequence
-        renewal = wire.RENEWAL.decode(envelope.body)
+        envelope = wire.unseal(self.authenticator, data)
+        renewal = decode(envelope.body, LeaseRenewal).unwrap()
         self.renewed_at[renewal.session] = time.clock_gettime(time.CLOCK_BOOTTIME)
-        answer = wire.seal("leader", envelope.sequence, wire.acknowledgement(renewal))
+        answer = wire.seal_ack(self.authenticator, envelope.sender, renewal)
         if self.transport is not None:
             self.transport.sendto(answer, address)
 
@@ -50,11 +50,14 @@
     """Checks and counts acknowledgements."""
 
     def __init__(self) -> None:
+        # Each run of the host must be newer than the one before.
+        self.authenticator = wire.authenticator(wire.HOST, time.time_ns())
         self.received = 0
 
     def datagram_received(self, data: bytes, _address: tuple[str, int]) -> None:
         """Handle one acknowledgement."""
-        wire.ACK.decode(wire.unseal(data).body)
+        envelope = wire.unseal(self.authenticator, data)
+        decode(envelope.body, LeaseAck).unwrap()
         self.received += 1
 
 
@@ -77,11 +80,9 @@
     )
     count = round(rate * seconds)
     started_at, cpu_at = loop.time(), time.process_time()
-    base = time.time_ns()
     for number in range(count):
         await asyncio.sleep(max(0.0, started_at + number / rate - loop.time()))
-        sequence = base + number
-        transport.sendto(wire.seal("host", sequence, wire.renewal(sequence)))
+        transport.sendto(wire.seal_renewal(protocol.authenticator))
     await asyncio.sleep(SETTLE_S)
     cpu_s = time.process_time() - cpu_at
     report({"sent": count, "received": protocol.received, "cpu_s": cpu_s})
@@ -109,17 +110,19 @@
             host_points.append(Point(rate, result["cpu_s"] / SECONDS))
             lost += result["sent"] - result["received"]
     sizes = [
-        (size, len(wire.seal("cairo-a-host-117", 10**9, wire.renewal(10**9, size))))
+        (size, len(wire.seal_renewal(wire.authenticator(wire.HOST), size)))
         for size in (0, 64, 512)
     ]
-    answer = wire.acknowledgement(wire.renewal(10**9))
+    answer = wire.seal_ack(
+        wire.authenticator(wire.LEADER), wire.HOST, wire.renewal(wire.SEQUENCE)
+    )
     return {
         "renewal_leader_s": leader_points[-1].y / leader_points[-1].x,
         "renewal_host_s": host_points[0].y / host_points[0].x,
         "renewal_leader_slope_s": fit(leader_points).slope,
         "renewal_host_slope_s": fit(host_points).slope,
         "renewal_bytes": dict(sizes)[wire.LOAD_BYTES],
-        "ack_bytes": len(wire.seal("leader-of-cell-11", 10**9, answer)),
+        "ack_bytes": len(answer),
         "points": {
             "leader_cpu_s_per_s": leader_points,
             "host_cpu_s_per_s": host_points,
--- a/src/sassafraswharf_bench/slopes/tables.py
+++ b/src/sassafraswharf_bench/slopes/tables.py
@@ -1,8 +1,4 @@
-"""Memory and encoded size of slot tables, cell state and journal records.
-
-``StandInTable`` has the layout that section 4.4 of the design describes:
-parallel arrays, and a mapping for the few slots that have sources.
-"""
+"""Memory and encoded size of slot tables, cell state and journal records."""
 
 from __future__ import annotations
 
@@ -10,13 +6,27 @@
 import time
 import tracemalloc
 
-from array import array
 from typing import TYPE_CHECKING
 from typing import Any
-from typing import NamedTuple
 
 import msgspec
 
+from sassafraswharf.cell.delta import CellDelta
+from sassafraswharf.identifiers import HostId
+from sassafraswharf.identifiers import ServiceName
+from sassafraswharf.identifiers import SessionId
+from sassafraswharf.identifiers import UpstreamId
+from sassafraswharf.journal.intent import Intent
+from sassafraswharf.journal.intent import Record
+from sassafraswharf.journal.intent import RecordState
+from sassafraswharf.journal.journal_store import JournalStore
+from sassafraswharf.membership.values import Session
+from sassafraswharf.membership.values import SessionState
+from sassafraswharf.membership.values import Upstream
+from sassafraswharf.membership.values import UpstreamState
+from sassafraswharf.ownership.slot_table import SlotTable
+from sassafraswharf.ownership.values import SlotRun
+from sassafraswharf.ownership.values import TableDelta
 from sassafraswharf_bench.slopes.child import Child
 from sassafraswharf_bench.slopes.child import report
 from sassafraswharf_bench.slopes.fitting import Point
@@ -25,6 +35,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterable
 
 
 SLOTS = (4_096, 16_384, 65_536)
@@ -32,75 +43,8 @@
 ANSWER_BYTES = (100, 500, 2_000)
 DECODE_ROUNDS = 20
 NEXT_ID = 4_000_000
-
-
-class StandInTable:
-    """A slot table as compact arrays."""
-
-    def __init__(self, slot_count: int) -> None:
-        self.upstreams = array("H", bytes(2 * slot_count))
-        self.sessions = array("Q", bytes(8 * slot_count))
-        self.epochs = array("Q", bytes(8 * slot_count))
-        self.changed = array("Q", bytes(8 * slot_count))
-        self.closing = bytearray(slot_count)
-        self.sources: dict[int, tuple[int, ...]] = {}
-
-
-class SlotRun(NamedTuple):
-    """As in section 4.4."""
-
-    start: int
-    length: int
-    upstream: str | None
-    session: int
-    epoch: int
-    closing: bool
-    sources: tuple[int, ...]
-
-
-class Upstream(NamedTuple):
-    """The announced fields of section 4.5 and the state."""
-
-    upstream: str
-    host: str
-    session: int
-    service: str
-    address: str
-    slots: int
-    connections: int
-    checks_grants: bool
-    incarnation: int
-    speed: float
-    state: int
-
-
-class Session(NamedTuple):
-    """The fields of ``OpenSession`` in section 4.5 and the journal peers."""
-
-    session: int
-    host: str
-    incarnation: int
-    zone: str
-    public_address: str
-    internal_address: str
-    lease_address: str
-    control_address: str
-    generation: int
-    peers: tuple[int, ...]
-
-
-class JournalRecord(NamedTuple):
-    """The fields of ``Intent`` in section 4.9 and the outcome."""
-
-    service: str
-    slot: int
-    idempotency_key: str
-    body_digest: bytes
-    epoch: int
-    owner: int
-    attempt: int
-    recorded_at: float
-    outcome: bytes
+RECORDS = 2_000
+SERVICE = ServiceName("diary")
 
 
 def slot_run(number: int) -> SlotRun:
@@ -108,8 +52,8 @@
     return SlotRun(
         number % 65_536,
         3,
-        f"diary-{number:04d}",
-        NEXT_ID + number,
+        UpstreamId(f"diary-{number:04d}"),
+        SessionId(NEXT_ID + number),
         NEXT_ID + number,
         False,
         (),
@@ -119,17 +63,17 @@
 def upstream(number: int) -> Upstream:
     """Return the state of one upstream."""
     return Upstream(
-        f"diary-{number:04d}",
-        f"cairo-a-host-{number:03d}",
-        NEXT_ID + number,
-        "diary",
+        UpstreamId(f"diary-{number:04d}"),
+        HostId(f"cairo-a-host-{number:03d}"),
+        SessionId(NEXT_ID + number),
+        SERVICE,
         f"10.20.30.40:{9000 + number}",
         20,
         110,
         True,
         1_764_800_000_000 + number,
         1.3,
-        1,
+        UpstreamState.ADMITTED,
     )
 
 
@@ -137,32 +81,51 @@
     """Return the state of one host session."""
     address = f"10.20.{number // 250}.{number % 250}"
     return Session(
-        NEXT_ID + number,
-        f"cairo-a-host-{number:03d}",
+        SessionId(NEXT_ID + number),
+        HostId(f"cairo-a-host-{number:03d}"),
         1_764_800_000_000 + number,
         "cairo-a",
         f"{address}:8100",
         f"{address}:8101",
         f"{address}:8103",
         f"{address}:8102",
+        SessionState.OPEN,
         3,
-        (NEXT_ID, NEXT_ID + 1),
+        (SessionId(NEXT_ID), SessionId(NEXT_ID + 1)),
+        3,
+        (),
     )
 
 
-def journal_record(number: int, answer_bytes: int) -> JournalRecord:
-    """Return a record with its own key, digest and answer."""
-    return JournalRecord(
-        "diary",
-        number % 65_536,
-        f"caller-17-{number:032x}",
-        number.to_bytes(32, "big"),
-        NEXT_ID + number,
-        NEXT_ID,
-        1,
-        float(number),
-        number.to_bytes(8, "big") * (answer_bytes // 8),
-    )
+def delta(
+    runs: Iterable[SlotRun] = (),
+    upstreams: Iterable[Upstream] = (),
+    sessions: Iterable[Session] = (),
+) -> CellDelta:
+    """Return what a router pulls."""
+    changed = TableDelta(SERVICE, NEXT_ID, NEXT_ID + 1, 65_536, tuple(runs))
+    members = tuple(upstreams), tuple(sessions)
+    return CellDelta(NEXT_ID, NEXT_ID + 1, (changed,), *members, (), ())
+
+
+def journal_store(records: int, answer_bytes: int) -> JournalStore:
+    """Return a store with answered records, each with its own key and answer."""
+    store = JournalStore()
+    for number in range(records):
+        intent = Intent(
+            SERVICE,
+            number % 65_536,
+            f"caller-17-{number:032x}",
+            number.to_bytes(16, "big"),
+            NEXT_ID + number,
+            SessionId(NEXT_ID),
+            number + 1,
+        )
+        answer = number.to_bytes(8, "big") * (answer_bytes // 8)
+        store.record_intent(intent, float(number) / records).unwrap()
+        outcome = Record(*intent, state=RecordState.ANSWER, answer=answer)
+        store.record_outcome(outcome, float(number) / records).unwrap()
+    return store
 
 
 def allocated(build: Callable[[], object]) -> int:
@@ -183,16 +146,15 @@
     ]
 
 
-def _wire_of(make: Callable[[int], object]) -> list[Point]:
-    encode = msgspec.msgpack.encode
-    return [Point(n, len(encode([make(i) for i in range(n)]))) for n in ITEMS]
+def _wire_of(make: Callable[[int], CellDelta]) -> list[Point]:
+    return [Point(n, len(msgspec.msgpack.encode(make(n)))) for n in ITEMS]
 
 
 def _decode_s() -> list[Point]:
-    decoder = msgspec.msgpack.Decoder(list[Upstream])
+    decoder = msgspec.msgpack.Decoder(CellDelta)
     points = []
     for n in ITEMS:
-        content = msgspec.msgpack.encode([upstream(i) for i in range(n)])
+        content = msgspec.msgpack.encode(delta(upstreams=map(upstream, range(n))))
         before = time.process_time()
         for _ in range(DECODE_ROUNDS):
             decoder.decode(content)
@@ -201,26 +163,20 @@
 
 
 def _record_memory() -> list[Point]:
-    points = []
-    for size in ANSWER_BYTES:
-        total = allocated(
-            lambda size=size: {  # type: ignore[misc]
-                record.idempotency_key: record
-                for record in (journal_record(i, size) for i in range(2_000))
-            }
-        )
-        points.append(Point(size, total / 2_000))
-    return points
+    return [
+        Point(size, allocated(lambda size=size: journal_store(RECORDS, size)) / RECORDS)  # type: ignore[misc]
+        for size in ANSWER_BYTES
+    ]
 
 
 def collect() -> dict[str, Any]:
     """Measure in this process; run it in a fresh one."""
-    table = [Point(n, allocated(lambda n=n: StandInTable(n))) for n in SLOTS]  # type: ignore[misc]
+    table = [Point(n, allocated(lambda n=n: SlotTable(SERVICE, n))) for n in SLOTS]  # type: ignore[misc]
     memory = {"upstream": _memory_of(upstream), "session": _memory_of(session)}
     wire = {
-        "run": _wire_of(slot_run),
-        "upstream": _wire_of(upstream),
-        "session": _wire_of(session),
+        "run": _wire_of(lambda n: delta(runs=map(slot_run, range(n)))),
+        "upstream": _wire_of(lambda n: delta(upstreams=map(upstream, range(n)))),
+        "session": _wire_of(lambda n: delta(sessions=map(session, range(n)))),
     }
     decode, records = _decode_s(), _record_memory()
     record_line = fit(records)
--- a/src/sassafraswharf_bench/slopes/wire.py
+++ b/src/sassafraswharf_bench/slopes/wire.py
@@ -1,86 +1,72 @@
-"""Stand-ins for the messages of sections 4.3 to 4.5 and 4.11 of the design.
-
-The fields and the encoding are those of the design; the product's own modules
-take their place once they exist.
-"""
+"""Sealed lease messages with values of the size that a long-lived cell has."""
 
 from __future__ import annotations
 
-import hashlib
-
-from typing import NamedTuple
-
-import msgspec
+from typing import TYPE_CHECKING
 
+from result import Err
 
-MAC_BYTES = 16
-KEY = bytes(32)
-LOAD_BYTES = 64
-
+from sassafraswharf.identifiers import HostId
+from sassafraswharf.identifiers import SessionId
+from sassafraswharf.leases.messages import LeaseAck
+from sassafraswharf.leases.messages import LeaseRenewal
+from sassafraswharf.transport.authenticator import Authenticator
+from sassafraswharf.transport.envelope import Channel
+from sassafraswharf.transport.envelope import MessageKind
+from sassafraswharf.transport.messages import encode
 
-class Envelope(NamedTuple):
-    """The authenticated frame around a message."""
 
-    version: int
-    kind: int
-    sender: str
-    incarnation: int
-    sequence: int
-    correlation: int
-    body: bytes
+if TYPE_CHECKING:
+    from sassafraswharf.transport.envelope import Envelope
 
 
-class LeaseRenewal(NamedTuple):
-    """A host's renewal of its lease."""
-
-    host: str
-    session: int
-    sequence: int
-    configuration_revision: int
-    table_version: int
-    load: bytes
-
+HOST = "cairo-a-host-117"
+LEADER = "cairo-a-host-101"
+KEY = bytes(32)
+INCARNATION = 1_764_800_000_000_000_000
+SEQUENCE = 10**9
+LOAD_BYTES = 64
 
-class LeaseAck(NamedTuple):
-    """The leader's answer to a renewal."""
 
-    session: int
-    sequence: int
-    term_s: float
-    leader_term: int
-    configuration_revision: int
-    table_version: int
+def authenticator(name: str, incarnation: int = INCARNATION) -> Authenticator:
+    """Return an authenticator that has already sent many messages."""
+    created = Authenticator(name, KEY, incarnation)
+    created.sequences = dict.fromkeys(Channel, SEQUENCE)
+    return created
 
 
-ENVELOPE = msgspec.msgpack.Decoder(Envelope)
-RENEWAL = msgspec.msgpack.Decoder(LeaseRenewal)
-ACK = msgspec.msgpack.Decoder(LeaseAck)
-ENCODER = msgspec.msgpack.Encoder()
+def seal_renewal(own: Authenticator, load_bytes: int = LOAD_BYTES) -> bytes:
+    """Return the datagram of a host's renewal."""
+    sequence = own.sequences[Channel.LEASE] + 1
+    body = encode(renewal(sequence, load_bytes))
+    sealed = own.seal(Channel.LEASE, MessageKind.LEASE_RENEWAL, LEADER, body)
+    return sealed.unwrap()
 
 
-def seal(sender: str, sequence: int, body: NamedTuple) -> bytes:
-    """Return the datagram that carries the body: MAC, then envelope."""
-    frame = ENCODER.encode(
-        Envelope(
-            1, 2, sender, 1_764_800_000_000, sequence, sequence, ENCODER.encode(body)
-        )
-    )
-    return hashlib.blake2b(frame, key=KEY, digest_size=MAC_BYTES).digest() + frame
+def seal_ack(own: Authenticator, recipient: str, of: LeaseRenewal) -> bytes:
+    """Return the datagram of the leader's acknowledgement."""
+    body = encode(acknowledgement(of))
+    sealed = own.seal(Channel.LEASE, MessageKind.LEASE_ACK, recipient, body)
+    return sealed.unwrap()
 
 
-def unseal(datagram: bytes) -> Envelope:
-    """Return the envelope; raise ValueError if the MAC doesn't fit."""
-    frame = datagram[MAC_BYTES:]
-    mac = hashlib.blake2b(frame, key=KEY, digest_size=MAC_BYTES).digest()
-    if mac != datagram[:MAC_BYTES]:
-        raise ValueError("the MAC does not fit the frame")
-    return ENVELOPE.decode(frame)
+def unseal(own: Authenticator, datagram: bytes) -> Envelope:
+    """Return the envelope; raise ValueError if it is not accepted."""
+    opened = own.open(Channel.LEASE, datagram)
+    if isinstance(opened, Err):
+        raise ValueError(str(opened.err_value))
+    return opened.ok_value
 
 
 def renewal(sequence: int, load_bytes: int = LOAD_BYTES) -> LeaseRenewal:
-    """Return a renewal with values of the size that a long-lived cell has."""
+    """Return a renewal."""
     return LeaseRenewal(
-        "cairo-a-host-117", 4_213_907, sequence, 1_423_500, 4_213_990, bytes(load_bytes)
+        HostId(HOST),
+        SessionId(4_213_907),
+        sequence,
+        1_423_500,
+        4_213_990,
+        bytes(load_bytes),
     )
 
 
--- a/tests/sassafraswharf_bench/test_capacity.py
+++ b/tests/sassafraswharf_bench/test_capacity.py
@@ -95,10 +95,11 @@
 
 def test_datagram_is_authenticated() -> None:
     """Guards against measuring a renewal without the check of its MAC."""
-    datagram = wire.seal("host", 7, wire.renewal(7))
-    assert wire.unseal(datagram).sequence == 7
+    datagram = wire.seal_renewal(wire.authenticator(wire.HOST))
+    leader = wire.authenticator(wire.LEADER)
     with pytest.raises(ValueError, match="MAC"):
-        wire.unseal(datagram[:-1] + b"\x01")
+        wire.unseal(leader, datagram[:-1] + bytes([datagram[-1] ^ 1]))
+    assert wire.unseal(leader, datagram).sequence == wire.SEQUENCE + 1
 
 
 def test_page_holds_the_stored_measurement() -> None:
