Run several cells on a control host

ControlPart keeps the groups, the transport and the configuration; CellPart has the state, lease desk and controller of one cell. The setting control.cells names the cells of a host, its own cell by default. Renewals name their cell, because sessions of two cells may have the same number; proposals, pulls and the query field cell of the admin API are addressed by cell, and status and metrics cover all cells of the host. All control hosts found the group of each cell, so the same cells are listed on each of them.

--- a/src/sassafraswharf/control/admin_api.py
+++ b/src/sassafraswharf/control/admin_api.py
@@ -31,12 +31,13 @@
 from sassafraswharf.consensus.voters import VoterChange
 from sassafraswharf.consensus.voters import VoterChangeKind
 from sassafraswharf.control import admin_views
+from sassafraswharf.control.admin_requests import read_actor
+from sassafraswharf.control.admin_requests import read_json
 from sassafraswharf.control.control_part import CONFIGURATION_GROUP
 from sassafraswharf.failure import Failure
 from sassafraswharf.identifiers import GroupId
 from sassafraswharf.identifiers import ReplicaId
 from sassafraswharf.identifiers import UpstreamId
-from sassafraswharf.router.request_reader import read_body
 
 
 if TYPE_CHECKING:
@@ -46,14 +47,13 @@
     from result import Result
 
     from sassafraswharf.cell.commands import Command
+    from sassafraswharf.control.cell_part import CellPart
     from sassafraswharf.control.control_part import ControlPart
 
     Handler = Callable[[web.Request], Awaitable[web.Response]]
     Body = dict[str, object]
 
 
-MAX_BODY_BYTES: Final = 2_097_152
-BODY_TIMEOUT_S: Final = 10.0
 PROPOSAL_TIMEOUT_S: Final = 3.0
 DEFAULT_AUDIT_LIMIT: Final = 100
 MAX_AUDIT_LIMIT: Final = 1_000
@@ -198,25 +198,32 @@
     async def get_owners(self, request: web.Request) -> web.Response:
         """Return the owners of all slots, or of one service."""
         return self.from_cell(
-            lambda: admin_views.owners(self.control, request.query.get("service"))
+            request, lambda cell: admin_views.owners(cell, request.query.get("service"))
         )
 
-    async def get_upstreams(self, _request: web.Request) -> web.Response:
+    async def get_upstreams(self, request: web.Request) -> web.Response:
         """Return all upstreams of the cell."""
-        return self.from_cell(lambda: admin_views.upstreams(self.control))
+        return self.from_cell(request, admin_views.upstreams)
 
-    async def get_suspects(self, _request: web.Request) -> web.Response:
+    async def get_suspects(self, request: web.Request) -> web.Response:
         """Return requests that are suspected or convicted of crashes."""
-        return self.from_cell(lambda: admin_views.suspects(self.control, time.time()))
+        return self.from_cell(
+            request, lambda cell: admin_views.suspects(cell, time.time())
+        )
 
     async def get_explain(self, request: web.Request) -> web.Response:
         """Return who owns a key, since when and why."""
         service = request.query.get("service", "")
         key = request.query.get("key", "")
-        if service not in self.control.cell.tables:
+        cell = self.cell_of(request)
+        if isinstance(cell, Err):
+            return refuse(cell.err_value)
+        if service not in cell.ok_value.state.tables:
             failure = Failure(ResultCode.UNKNOWN_SERVICE, f"no service {service!r}")
             return refuse(failure)
-        return self.from_cell(lambda: admin_views.explain(self.control, service, key))
+        return self.from_cell(
+            request, lambda cell: admin_views.explain(cell, service, key)
+        )
 
     async def get_audit(self, request: web.Request) -> web.Response:
         """Return the newest entries of the audit trail of a group."""
@@ -271,10 +278,14 @@
         actor = await read_actor(request)
         if isinstance(actor, Err):
             return refuse(actor.err_value)
-        failure = await self.commit(command(upstream, actor.ok_value, time.time()))
+        found = self.cell_of(request)
+        if isinstance(found, Err):
+            return refuse(found.err_value)
+        cell = found.ok_value
+        failure = await commit(cell, command(upstream, actor.ok_value, time.time()))
         if failure is not None:
-            return self.refuse_for(self.control.cell_name, failure)
-        state = self.control.cell.upstreams[upstream].state.name.lower()
+            return self.refuse_for(cell.name, failure)
+        state = cell.state.upstreams[upstream].state.name.lower()
         message = f"{upstream} is {state}"
         return web.json_response(
             {"code": 0, "message": message, "upstream": upstream, "state": state}
@@ -291,31 +302,33 @@
         except ValueError:
             return refuse(Failure(ResultCode.BAD_REQUEST, f"{text!r} is no digest"))
         command = ReleaseSuspect(digest, actor.ok_value, time.time())
-        failure = await self.commit(command)
+        cell = self.cell_of(request)
+        if isinstance(cell, Err):
+            return refuse(cell.err_value)
+        failure = await commit(cell.ok_value, command)
         if failure is not None:
-            return self.refuse_for(self.control.cell_name, failure)
+            return self.refuse_for(cell.ok_value.name, failure)
         return web.json_response({"code": 0, "message": "released", "digest": text})
 
-    async def commit(self, command: Command) -> Failure | None:
-        """Commit a command of an operator in the cell's log."""
-        group = self.control.groups[self.control.cell_name]
-        reply = await group.propose(encode_command(command), PROPOSAL_TIMEOUT_S)
-        if isinstance(reply, Err):
-            return reply.err_value
-        decoded = decode_reply(reply.ok_value)
-        if isinstance(decoded, Err):
-            return decoded.err_value
-        if decoded.ok_value.code:
-            code = ResultCode(decoded.ok_value.code)
-            return Failure(code, decoded.ok_value.message)
-        return None
-
-    def from_cell(self, view: Callable[[], Body]) -> web.Response:
-        """Answer a read of the cell, which only its current leader may do."""
-        group = self.control.groups[self.control.cell_name]
-        if not group.is_current_leader():
-            return self.refuse_for(self.control.cell_name, not_leader())
-        return web.json_response(view())
+    def cell_of(self, request: web.Request) -> Result[CellPart, Failure]:
+        """Return the cell that a request names, or this host's own one."""
+        name = request.query.get("cell", self.control.settings["cell"])
+        cell = self.control.cells.get(GroupId(name))
+        if cell is None:
+            message = f"this control host does not run the cell {name!r}"
+            return Err(Failure(ResultCode.BAD_REQUEST, message))
+        return Ok(cell)
+
+    def from_cell(
+        self, request: web.Request, view: Callable[[CellPart], Body]
+    ) -> web.Response:
+        """Answer a read of a cell, which only its current leader may do."""
+        cell = self.cell_of(request)
+        if isinstance(cell, Err):
+            return refuse(cell.err_value)
+        if not cell.ok_value.group.is_current_leader():
+            return self.refuse_for(cell.ok_value.name, not_leader())
+        return web.json_response(view(cell.ok_value))
 
     def refuse_for(self, group: GroupId, failure: Failure) -> web.Response:
         """Refuse, and name the admin address of the leader where it helps."""
@@ -332,6 +345,20 @@
         )
 
 
+async def commit(cell: CellPart, command: Command) -> Failure | None:
+    """Commit a command of an operator in the cell's log."""
+    reply = await cell.group.propose(encode_command(command), PROPOSAL_TIMEOUT_S)
+    if isinstance(reply, Err):
+        return reply.err_value
+    decoded = decode_reply(reply.ok_value)
+    if isinstance(decoded, Err):
+        return decoded.err_value
+    if decoded.ok_value.code:
+        code = ResultCode(decoded.ok_value.code)
+        return Failure(code, decoded.ok_value.message)
+    return None
+
+
 def not_leader() -> Failure:
     """Return the failure of a read at a replica that may be behind."""
     return Failure(ResultCode.NOT_LEADER, "this control host does not lead the group")
@@ -357,25 +384,3 @@
         winner = {"change_id": reply.winner_id, "author": reply.winner_author}
         body["winner"] = winner if reply.winner_id else None
     return web.json_response(body, status=HTTP_STATUS.get(reply.code, 503))
-
-
-async def read_json(request: web.Request) -> Result[Body, Failure]:
-    """Return the JSON object in the body of a request."""
-    body = await read_body(request, MAX_BODY_BYTES, BODY_TIMEOUT_S)
-    if isinstance(body, Err):
-        return body
-    try:
-        return Ok(msgspec.json.decode(body.ok_value, type=dict[str, object]))
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return Err(Failure(ResultCode.BAD_REQUEST, str(error)))
-
-
-async def read_actor(request: web.Request) -> Result[str, Failure]:
-    """Return the operator that a request names."""
-    body = await read_json(request)
-    if isinstance(body, Err):
-        return body
-    actor = body.ok_value.get("actor")
-    if not isinstance(actor, str) or not 0 < len(actor) <= 128:
-        return Err(Failure(ResultCode.BAD_REQUEST, "actor has 1 to 128 characters"))
-    return Ok(actor)
--- a/src/sassafraswharf/control/admin_views.py
+++ b/src/sassafraswharf/control/admin_views.py
@@ -10,6 +10,7 @@
 
 from sassafraswharf.consensus.voters import host_name
 from sassafraswharf.control.control_part import CONFIGURATION_GROUP
+from sassafraswharf.identifiers import GroupId
 from sassafraswharf.identifiers import ServiceName
 from sassafraswharf.membership.values import SessionState
 
@@ -17,8 +18,8 @@
 if TYPE_CHECKING:
     from sassafraswharf.configuration.history import RevisionRecord
     from sassafraswharf.consensus.group_task import GroupTask
+    from sassafraswharf.control.cell_part import CellPart
     from sassafraswharf.control.control_part import ControlPart
-    from sassafraswharf.identifiers import GroupId
     from sassafraswharf.identifiers import ReplicaId
     from sassafraswharf.identifiers import SessionId
     from sassafraswharf.membership.values import Session
@@ -61,7 +62,6 @@
 def status(control: ControlPart) -> Json:
     """Return leaders, revision and hosts."""
     configuration = control.groups[CONFIGURATION_GROUP]
-    cell = control.groups[control.cell_name]
     return {
         "deployment": control.settings["deployment"],
         "host": control.settings["host"],
@@ -69,10 +69,11 @@
         "configuration_leader": admin_address(control, configuration.leader),
         "cells": [
             {
-                "cell": control.cell_name,
-                "leader": admin_address(control, cell.leader),
-                "table_version": control.cell.version,
+                "cell": cell.name,
+                "leader": admin_address(control, cell.group.leader),
+                "table_version": cell.state.version,
             }
+            for cell in control.cells.values()
         ],
         "hosts": hosts(control),
         "measures": measures(control),
@@ -81,48 +82,50 @@
 
 def measures(control: ControlPart) -> Json:
     """Return the totals from which the users' measures are computed."""
-    counters = control.cell.counters
+    totals = control.totals()
     return {
-        "unavailable_slot_s": counters.unavailable_slot_s,
-        "closing_slot_s": counters.closing_slot_s,
-        "slots_moved": counters.slots_moved,
-        "slots_returned": counters.slots_returned,
+        "unavailable_slot_s": totals["unavailable_slot_s"],
+        "closing_slot_s": totals["closing_slot_s"],
+        "slots_moved": totals["slots_moved"],
+        "slots_returned": totals["slots_returned"],
         "imbalance": control.imbalance(),
     }
 
 
 def hosts(control: ControlPart) -> list[Json]:
-    """Return this host, and all hosts of the cell if this host leads it."""
+    """Return this host, and all hosts of the cells that this host leads."""
+    own_cell = control.cells.get(GroupId(control.settings["cell"]))
     own = {
         "host": control.settings["host"],
-        "cell": control.cell_name,
+        "cell": control.settings["cell"],
         "zone": control.settings["zone"],
         "parts": ["control"],
         "live": True,
         "session": None,
         "revision": control.configuration.revision,
-        "table_version": control.cell.version,
+        "table_version": 0 if own_cell is None else own_cell.state.version,
         "lease_remaining_s": None,
         "upstreams": 0,
     }
     found: dict[str, Json] = {str(own["host"]): own}
-    if control.groups[control.cell_name].is_current_leader():
-        for session in control.cell.sessions.values():
-            if session.state == SessionState.OPEN:
-                found[session.host] = router_host(control, session)
+    for cell in control.cells.values():
+        if cell.group.is_current_leader():
+            for session in cell.state.sessions.values():
+                if session.state == SessionState.OPEN:
+                    found[session.host] = router_host(control, cell, session)
     return list(found.values())
 
 
-def router_host(control: ControlPart, session: Session) -> Json:
+def router_host(control: ControlPart, cell: CellPart, session: Session) -> Json:
     """Return a host with a router part, as its session reports it."""
-    report = control.desk.reports.get(session.session)
-    remaining_s = control.desk.lease_remaining_s(session.session)
+    report = cell.desk.reports.get(session.session)
+    remaining_s = cell.desk.lease_remaining_s(session.session)
     parts = ["router"]
     if session.host in control.hosts:
         parts.append("control")
     return {
         "host": session.host,
-        "cell": control.cell_name,
+        "cell": cell.name,
         "zone": session.zone,
         "parts": parts,
         "live": bool(remaining_s),
@@ -132,24 +135,24 @@
         "lease_remaining_s": remaining_s,
         "upstreams": sum(
             upstream.session == session.session
-            for upstream in control.cell.upstreams.values()
+            for upstream in cell.state.upstreams.values()
         ),
     }
 
 
-def host_of(control: ControlPart, session: SessionId) -> str | None:
+def host_of(cell: CellPart, session: SessionId) -> str | None:
     """Return the host of a session that is still known."""
-    known = control.cell.sessions.get(session)
+    known = cell.state.sessions.get(session)
     return None if known is None else known.host
 
 
-def run(control: ControlPart, item: SlotRun) -> Json:
+def run(cell: CellPart, item: SlotRun) -> Json:
     """Return a run of slots with its owner."""
     return {
         "start": item.start,
         "length": item.length,
         "upstream": item.upstream,
-        "host": None if item.upstream is None else host_of(control, item.session),
+        "host": None if item.upstream is None else host_of(cell, item.session),
         "session": item.session,
         "epoch": item.epoch,
         "closing": item.closing,
@@ -157,37 +160,37 @@
     }
 
 
-def owners(control: ControlPart, service: str | None) -> Json:
+def owners(cell: CellPart, service: str | None) -> Json:
     """Return the owners of all slots, or of one service."""
     tables = [
         table
-        for name, table in control.cell.tables.items()
+        for name, table in cell.state.tables.items()
         if service is None or name == service
     ]
     return {
-        "cell": control.cell_name,
-        "version": control.cell.version,
+        "cell": cell.name,
+        "version": cell.state.version,
         "services": [
             {
                 "service": table.service,
                 "slot_count": table.slot_count,
-                "runs": [run(control, item) for item in table.runs()],
+                "runs": [run(cell, item) for item in table.runs()],
             }
             for table in tables
         ],
     }
 
 
-def upstreams(control: ControlPart) -> Json:
+def upstreams(cell: CellPart) -> Json:
     """Return all upstreams of the cell."""
     owned: Counter[str] = Counter()
-    for table in control.cell.tables.values():
+    for table in cell.state.tables.values():
         for holding, slots in table.holdings():
             if holding.upstream is not None:
                 owned[holding.upstream] += slots
     rows = []
-    for item in control.cell.upstreams.values():
-        session = control.cell.sessions.get(item.session)
+    for item in cell.state.upstreams.values():
+        session = cell.state.sessions.get(item.session)
         rows.append(
             {
                 "upstream": item.upstream,
@@ -204,13 +207,13 @@
                 "owned_slots": owned[item.upstream],
             }
         )
-    return {"cell": control.cell_name, "upstreams": rows}
+    return {"cell": cell.name, "upstreams": rows}
 
 
-def suspects(control: ControlPart, now: float) -> Json:
+def suspects(cell: CellPart, now: float) -> Json:
     """Return requests that are suspected or convicted; ``now`` is Unix time."""
     rows = []
-    for item in control.cell.suspects.suspects.values():
+    for item in cell.state.suspects.suspects.values():
         convicted = item.convicted_until > 0
         rows.append(
             {
@@ -222,49 +225,47 @@
                 else None,
             }
         )
-    return {"cell": control.cell_name, "suspects": rows}
+    return {"cell": cell.name, "suspects": rows}
 
 
-def explain(control: ControlPart, service: str, key: str) -> Json:
+def explain(cell: CellPart, service: str, key: str) -> Json:
     """Return who owns a key, since when and why."""
-    table = control.cell.tables[ServiceName(service)]
+    table = cell.state.tables[ServiceName(service)]
     owner = table.owner_of(key)
-    upstream = control.cell.upstreams.get(owner.upstream) if owner.upstream else None
+    upstream = cell.state.upstreams.get(owner.upstream) if owner.upstream else None
     live = owner.upstream is not None and bool(
-        control.desk.lease_remaining_s(owner.session)
+        cell.desk.lease_remaining_s(owner.session)
     )
     return {
         "service": service,
         "key": key,
         "slot": owner.slot,
-        "version": control.cell.version,
+        "version": cell.state.version,
         "upstream": owner.upstream,
-        "host": None if owner.upstream is None else host_of(control, owner.session),
+        "host": None if owner.upstream is None else host_of(cell, owner.session),
         "address": None if upstream is None else upstream.address,
         "session": owner.session,
         "epoch": owner.epoch,
         "closing": owner.closing,
         "sources": list(owner.sources),
         "live": live,
-        "reason": reason(control, owner.upstream, owner.slot, closing=owner.closing),
-        "last_change": last_change(control, owner.epoch),
+        "reason": reason(cell, owner.upstream, owner.slot, closing=owner.closing),
+        "last_change": last_change(cell, owner.epoch),
     }
 
 
-def reason(
-    control: ControlPart, upstream: str | None, slot: int, *, closing: bool
-) -> str:
+def reason(cell: CellPart, upstream: str | None, slot: int, *, closing: bool) -> str:
     """Return one sentence on the owner of a slot."""
     if upstream is None:
         return f"nobody owns slot {slot}: no upstream of the service is available"
     if closing:
         return f"slot {slot} is being moved away from {upstream}"
-    return f"{upstream} owns slot {slot} in {control.cell_name}"
+    return f"{upstream} owns slot {slot} in {cell.name}"
 
 
-def last_change(control: ControlPart, epoch: int) -> Json | None:
+def last_change(cell: CellPart, epoch: int) -> Json | None:
     """Return the audit entry of the command that made the present epoch."""
-    for entry in control.cell.trail.entries:
+    for entry in cell.state.trail.entries:
         if entry.revision == epoch:
             return {"at": entry.at, "action": entry.action, "subject": entry.subject}
     return None
@@ -299,7 +300,7 @@
             "revision": item.revision,
             "code": item.code,
         }
-        for item in reversed(control.cell.trail.newest(limit))
+        for item in reversed(control.cells[group].state.trail.newest(limit))
     ]
     return {"group": group, "dropped": 0, "entries": rows}
 
--- a/src/sassafraswharf/control/control_part.py
+++ b/src/sassafraswharf/control/control_part.py
@@ -1,4 +1,4 @@
-"""The groups of a control host and the decisions of their leaders."""
+"""The groups, messages and configuration of a control host."""
 
 from __future__ import annotations
 
@@ -10,60 +10,45 @@
 from typing import TYPE_CHECKING
 from typing import Final
 
-from absl import logging
 from result import Err
 
-from sassafraswharf.cell.codec import encode_command
-from sassafraswharf.cell.commands import ServiceSpec
-from sassafraswharf.cell.commands import SetServices
-from sassafraswharf.cell.controller import CellController
+from sassafraswharf.cell.counters import Counters
 from sassafraswharf.cell.state import CellState
+from sassafraswharf.codes import ResultCode
 from sassafraswharf.configuration.state import ConfigurationState
-from sassafraswharf.configuration.validation import decode_document
 from sassafraswharf.consensus.core import ReplicaTiming
 from sassafraswharf.consensus.group_task import GroupTask
 from sassafraswharf.consensus.messages import decode_message
 from sassafraswharf.consensus.messages import encode_message
 from sassafraswharf.consensus.voters import host_name
-from sassafraswharf.control.lease_desk import LeaseDesk
+from sassafraswharf.control.cell_part import CellPart
 from sassafraswharf.identifiers import GroupId
 from sassafraswharf.identifiers import ReplicaId
-from sassafraswharf.identifiers import ServiceName
-from sassafraswharf.leases.messages import LeaseTiming
-from sassafraswharf.placement.values import PlannerLimits
-from sassafraswharf.placement.values import Weights
+from sassafraswharf.leases.messages import LeaseRefusal
+from sassafraswharf.leases.messages import LeaseRenewal
 from sassafraswharf.transport import messages
 from sassafraswharf.transport.envelope import MessageKind
 from sassafraswharf.transport.mailbox import Peer
 
 
 if TYPE_CHECKING:
-    from sassafraswharf.cell.commands import Command
     from sassafraswharf.clock import Clock
     from sassafraswharf.consensus.messages import ConsensusMessage
     from sassafraswharf.consensus.state_machine import StateMachine
     from sassafraswharf.settings.schema import ControlHostSettings
     from sassafraswharf.settings.schema import Settings
+    from sassafraswharf.transport.datagrams import Address
     from sassafraswharf.transport.datagrams import DatagramEndpoint
     from sassafraswharf.transport.envelope import Envelope
     from sassafraswharf.transport.mailbox import Mailbox
 
 
 CONFIGURATION_GROUP: Final = GroupId("configuration")
-CONTROLLER_TICK_S: Final = 0.05
-BUSY_TICK_S: Final = 0.01
-"""The slots of a lost zone take several ticks, which should follow at once."""
-COMMAND_TIMEOUT_S: Final = 1.0
 PROPOSAL_TIMEOUT_S: Final = 2.0
 
 
 class ControlPart:
-    """Runs the replicas of one control host.
-
-    The controller of the cell runs only on the leader: it proposes commands
-    and waits until all of them are applied before it decides again, so no
-    command is decided twice.
-    """
+    """Runs the replicas of one control host: the configuration and some cells."""
 
     def __init__(
         self,
@@ -81,28 +66,22 @@
         self.hosts: dict[str, ControlHostSettings] = {
             host["name"]: host for host in settings["control_hosts"]
         }
-        self.cell_name = GroupId(settings["cell"])
         self.configuration = ConfigurationState()
-        self.cell = CellState()
         self.groups = {
             CONFIGURATION_GROUP: self.create_group(
                 CONFIGURATION_GROUP, self.configuration
-            ),
-            self.cell_name: self.create_group(self.cell_name, self.cell),
+            )
         }
-        self.desk = LeaseDesk(
-            self.groups[self.cell_name],
-            self.cell,
-            LeaseTiming(),
-            clock,
-            lambda: self.configuration.revision,
+        names = settings["control"].get("cells", [settings["cell"]])
+        self.cells = {GroupId(name): self.create_cell(GroupId(name)) for name in names}
+
+    def create_cell(self, name: GroupId) -> CellPart:
+        """Return this host's part of a cell."""
+        state = CellState()
+        group = self.groups[name] = self.create_group(name, state)
+        return CellPart(
+            name, group, state, self.configuration, self.datagrams, self.clock
         )
-        self.groups[self.cell_name].on_role_change = self.on_cell_role
-        self.controller = CellController()
-        self.configured_revision = 0
-        self.notified_version = 0
-        self.is_busy = False
-        self.task: asyncio.Task[None] | None = None
 
     def create_group(self, group: GroupId, machine: StateMachine) -> GroupTask:
         """Return the replica of a group on this host."""
@@ -124,13 +103,12 @@
         self.mailbox.direct_handlers[MessageKind.CONSENSUS] = self.on_consensus
         for group in self.groups.values():
             await group.start()
-        self.task = asyncio.create_task(self.control())
+        for cell in self.cells.values():
+            cell.start()
 
     async def stop(self) -> None:
         """Hand over leadership and close the files."""
-        if self.task is not None:
-            self.task.cancel()
-            await asyncio.gather(self.task, return_exceptions=True)
+        await asyncio.gather(*(cell.stop() for cell in self.cells.values()))
         await asyncio.gather(*(group.stop() for group in self.groups.values()))
 
     def transmit(
@@ -160,95 +138,41 @@
         if group is not None:
             group.deliver(ReplicaId(envelope.sender), message.ok_value)
 
-    def on_cell_role(self, is_leader: bool, term: int) -> None:
-        """Follow the leadership of the cell's group."""
-        logging.info("cell leader: %s, term %d", is_leader, term)
-        self.controller = CellController()
-        self.configured_revision = 0
-        self.desk.on_role_change(is_leader=is_leader, term=term)
-
-    async def control(self) -> None:
-        """Decide as the leader of the cell until cancelled."""
-        while True:
-            await asyncio.sleep(BUSY_TICK_S if self.is_busy else CONTROLLER_TICK_S)
-            try:
-                self.is_busy = await self.decide()
-            except Exception:
-                logging.exception("the cell controller failed")
-
-    async def decide(self) -> bool:
-        """Propose what the controller decides, tell the hosts.
-
-        Returns whether there was anything to decide.
-        """
-        group = self.groups[self.cell_name]
-        if not group.is_current_leader():
-            return False
-        await self.follow_configuration()
-        expired = self.desk.expired()
-        commands = self.controller.tick(
-            self.cell, expired, self.desk.loads, self.clock.now(), time.time()
-        )
-        if commands:
-            await asyncio.gather(*(self.commit(command) for command in commands))
-            self.desk.follow_state()
-        if self.cell.version != self.notified_version:
-            self.notified_version = self.cell.version
-            self.desk.notify_hosts(self.cell_name, self.datagrams)
-        return bool(commands)
-
-    async def commit(self, command: Command) -> None:
-        """Commit a command of the controller."""
-        group = self.groups[self.cell_name]
-        reply = await group.propose(encode_command(command), COMMAND_TIMEOUT_S)
-        if isinstance(reply, Err):
-            logging.warning("%s: %s", type(command).__name__, reply.err_value)
-
-    async def follow_configuration(self) -> None:
-        """Bring services, weights and limits of a new revision into the cell."""
-        newest = self.configuration.history.newest
-        if newest is None or newest.revision == self.configured_revision:
+    def on_renewal(self, envelope: Envelope, address: Address) -> None:
+        """Let the cell that a renewal names answer it."""
+        decoded = messages.decode(envelope.body, LeaseRenewal)
+        if isinstance(decoded, Err):
+            self.datagrams.on_dropped(decoded.err_value)
             return
-        document = decode_document(newest.document)
-        if isinstance(document, Err):
-            logging.error("revision %d: %s", newest.revision, document.err_value)
+        renewal = decoded.ok_value
+        cell = self.cells.get(GroupId(renewal.cell))
+        if cell is not None:
+            cell.desk.answer(renewal, envelope.sender, address, self.datagrams)
             return
-        weights = document.ok_value["weights"]
-        placement = document.ok_value["placement"]
-        self.controller.configure(
-            Weights(**weights),
-            PlannerLimits(
-                moves_per_minute=placement["moves_per_minute"],
-                min_benefit=placement["minimum_benefit"],
-            ),
+        refusal = LeaseRefusal(
+            renewal.session, renewal.sequence, ResultCode.NOT_LEADER, None
         )
-        self.configured_revision = newest.revision
-        if self.cell.revision >= newest.revision:
-            return
-        specs = tuple(
-            ServiceSpec(
-                ServiceName(service["name"]),
-                service["slot_count"],
-                service["admit"] == "any",
-            )
-            for service in document.ok_value["services"]
+        self.datagrams.send(
+            address,
+            envelope.sender,
+            MessageKind.LEASE_REFUSAL,
+            messages.encode(refusal),
         )
-        await self.commit(SetServices(newest.revision, specs, at=time.time()))
 
     def imbalance(self) -> dict[str, float]:
-        """Return the highest load per speed over the mean, per service.
+        """Return the highest imbalance of each service in any cell of this host."""
+        found: dict[str, float] = {}
+        for cell in self.cells.values():
+            for service, value in cell.imbalance().items():
+                found[service] = max(value, found.get(service, 0.0))
+        return found
 
-        1.0 is perfect balance; a service without reported load counts as 1.0.
-        """
-        found = {}
-        now = self.clock.now()
-        for service in self.cell.services:
-            members = [u for u in self.cell.upstreams.values() if u.service == service]
-            names = {upstream.upstream for upstream in members}
-            loads = self.desk.loads.upstream_loads(members, names, now)
-            shares = [load.load / load.speed for load in loads if load.speed > 0]
-            mean = sum(shares) / len(shares) if shares else 0.0
-            found[str(service)] = max(shares) / mean if mean > 0 else 1.0
+    def totals(self) -> dict[str, float]:
+        """Return the counters summed over the cells of this host."""
+        found: dict[str, float] = dict.fromkeys(Counters._fields, 0.0)
+        for cell in self.cells.values():
+            for field, value in cell.state.counters._asdict().items():
+                found[field] += value
         return found
 
     async def handle(self, envelope: Envelope) -> bytes | None:
@@ -268,8 +192,13 @@
             return None
         proposal = decoded.ok_value
         group = self.groups.get(GroupId(proposal.group))
-        if group is None or proposal.group == CONFIGURATION_GROUP:
+        if proposal.group == CONFIGURATION_GROUP:
             return None
+        if group is None:
+            message = f"no replica of {proposal.group} runs here"
+            return messages.encode(
+                messages.ProposalReply(int(ResultCode.NOT_LEADER), message, "", b"")
+            )
         reply = await group.propose(proposal.command, PROPOSAL_TIMEOUT_S)
         if isinstance(reply, Err):
             failure = reply.err_value
@@ -288,8 +217,9 @@
             return None
         pull = decoded.ok_value
         delta = b""
-        if pull.cell == self.cell_name and pull.from_version < self.cell.version:
-            delta = messages.encode(self.cell.delta_since(pull.from_version))
+        cell = self.cells.get(GroupId(pull.cell))
+        if cell is not None and pull.from_version < cell.state.version:
+            delta = messages.encode(cell.state.delta_since(pull.from_version))
         return messages.encode(messages.CellPullReply(delta))
 
     async def on_configuration_pull(self, envelope: Envelope) -> bytes | None:
--- a/src/sassafraswharf/control/lease_desk.py
+++ b/src/sassafraswharf/control/lease_desk.py
@@ -5,13 +5,10 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
-from result import Err
-
 from sassafraswharf.codes import ResultCode
 from sassafraswharf.leases.grantor import LeaseGrantor
 from sassafraswharf.leases.messages import LeaseAck
 from sassafraswharf.leases.messages import LeaseRefusal
-from sassafraswharf.leases.messages import LeaseRenewal
 from sassafraswharf.membership.values import SessionState
 from sassafraswharf.placement.load_view import LoadView
 from sassafraswharf.transport import messages
@@ -25,10 +22,10 @@
     from sassafraswharf.clock import Clock
     from sassafraswharf.consensus.group_task import GroupTask
     from sassafraswharf.identifiers import SessionId
+    from sassafraswharf.leases.messages import LeaseRenewal
     from sassafraswharf.leases.messages import LeaseTiming
     from sassafraswharf.transport.datagrams import Address
     from sassafraswharf.transport.datagrams import DatagramEndpoint
-    from sassafraswharf.transport.envelope import Envelope
 
 
 class HostReport(NamedTuple):
@@ -113,20 +110,19 @@
         return self.grantor.expired(self.clock.now())
 
     def answer(
-        self, envelope: Envelope, address: Address, endpoint: DatagramEndpoint
+        self,
+        renewal: LeaseRenewal,
+        sender: str,
+        address: Address,
+        endpoint: DatagramEndpoint,
     ) -> None:
         """Answer a renewal that came from ``address``."""
-        decoded = messages.decode(envelope.body, LeaseRenewal)
-        if isinstance(decoded, Err):
-            endpoint.on_dropped(decoded.err_value)
-            return
-        renewal = decoded.ok_value
         answer = self.decide(renewal)
         kind = MessageKind.LEASE_REFUSAL
         if isinstance(answer, LeaseAck):
             kind = MessageKind.LEASE_ACK
             self.take_report(renewal, address)
-        endpoint.send(address, envelope.sender, kind, messages.encode(answer))
+        endpoint.send(address, sender, kind, messages.encode(answer))
 
     def decide(self, renewal: LeaseRenewal) -> LeaseAck | LeaseRefusal:
         """Extend the lease, or refuse it as another replica may be leader."""
--- a/src/sassafraswharf/daemon/process.py
+++ b/src/sassafraswharf/daemon/process.py
@@ -6,7 +6,6 @@
 
 from pathlib import Path
 from typing import TYPE_CHECKING
-from typing import Any
 
 from aiohttp import web
 from result import Err
@@ -136,7 +135,7 @@
         """Pass a lease message to the part that it is for."""
         if envelope.kind == MessageKind.LEASE_RENEWAL:
             if self.control is not None:
-                self.control.desk.answer(envelope, address, self.datagrams)
+                self.control.on_renewal(envelope, address)
         elif self.router is not None:
             self.router.link.on_datagram(envelope)
 
@@ -148,8 +147,8 @@
         """Declare the users' three measures as gauges of the control part."""
 
         def read(*fields: str) -> dict[str, float]:
-            counters: Any = control.cell.counters
-            return {field: float(getattr(counters, field)) for field in fields}
+            totals = control.totals()
+            return {field: totals[field] for field in fields}
 
         self.metrics.gauge(
             "sassafraswharf_unavailable_slot_seconds",
--- a/src/sassafraswharf/leases/holder.py
+++ b/src/sassafraswharf/leases/holder.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from sassafraswharf.codes import ResultCode
+from sassafraswharf.identifiers import CellId
 from sassafraswharf.identifiers import SessionId
 from sassafraswharf.leases.messages import LeaseRenewal
 
@@ -26,13 +27,14 @@
     """Decides by the host's own clock whether the host may serve its slots.
 
     Each term is measured from before the renewal was sent, so it ends on the
-    holder before it ends on the grantor. ``configuration_revision``,
+    holder before it ends on the grantor. ``cell``, ``configuration_revision``,
     ``table_version`` and ``load`` are sent with each renewal and are set by
     the owner of the holder. All instants are seconds on the boot-time clock.
     """
 
     def __init__(self, host: HostId, timing: LeaseTiming) -> None:
         self.host = host
+        self.cell = CellId("")
         self.timing = timing
         self.session = NO_SESSION
         self.expires_at = NEVER
@@ -75,6 +77,7 @@
         self._sent_at[self.sequence] = now
         return LeaseRenewal(
             self.host,
+            self.cell,
             self.session,
             self.sequence,
             self.configuration_revision,
--- a/src/sassafraswharf/leases/messages.py
+++ b/src/sassafraswharf/leases/messages.py
@@ -7,6 +7,7 @@
 
 from typing import NamedTuple
 
+from sassafraswharf.identifiers import CellId
 from sassafraswharf.identifiers import HostId
 from sassafraswharf.identifiers import ReplicaId
 from sassafraswharf.identifiers import SessionId
@@ -25,9 +26,13 @@
 
 
 class LeaseRenewal(NamedTuple):
-    """A host asks the cell leader to extend the lease of its session."""
+    """A host asks the leader of its cell to extend the lease of its session.
+
+    Sessions of different cells may have the same number.
+    """
 
     host: HostId
+    cell: CellId
     session: SessionId
     sequence: int
     configuration_revision: int
--- a/src/sassafraswharf/router/control_link.py
+++ b/src/sassafraswharf/router/control_link.py
@@ -21,6 +21,7 @@
 from sassafraswharf.cell.delta import CellDelta
 from sassafraswharf.codes import ResultCode
 from sassafraswharf.failure import Failure
+from sassafraswharf.identifiers import CellId
 from sassafraswharf.leases.holder import NO_SESSION
 from sassafraswharf.leases.messages import LeaseAck
 from sassafraswharf.leases.messages import LeaseRefusal
@@ -76,6 +77,7 @@
         """Prepare the link; ``load`` is read for each renewal."""
         self.opening = opening
         self.cell = cell
+        holder.cell = CellId(cell)
         self.control_hosts = {host["name"]: host for host in control_hosts}
         self.leader = next(iter(self.control_hosts))
         self.holder = holder
--- a/src/sassafraswharf/settings/loader.py
+++ b/src/sassafraswharf/settings/loader.py
@@ -32,6 +32,7 @@
     ProblemKind.INVALID_VALUE: ResultCode.SETTINGS_INVALID_VALUE,
     ProblemKind.MISSING_FIELD: ResultCode.SETTINGS_MISSING_FIELD,
 }
+RESERVED_GROUP: Final = "configuration"
 _TCP_PORTS: Final = ("public_port", "internal_port", "control_port", "admin_port")
 
 
@@ -79,6 +80,7 @@
     yield from _address_problems(settings)
     yield from _port_problems(settings)
     yield from _control_host_problems(settings)
+    yield from _cell_problems(settings)
     if "router" not in settings and "control" not in settings:
         reason = "set router, control or both; this process would run nothing"
         yield Problem(ProblemKind.MISSING_FIELD, "router", reason)
@@ -126,6 +128,20 @@
         yield Problem(ProblemKind.INVALID_VALUE, "control_hosts", reason)
 
 
+def _cell_problems(settings: Settings) -> Iterator[Problem]:
+    names: set[str] = set()
+    if "control" not in settings:
+        return
+    for position, name in enumerate(settings["control"].get("cells", ())):
+        field = f"control.cells[{position}]"
+        if name in names:
+            yield Problem(ProblemKind.INVALID_VALUE, field, f"{name!r} is listed twice")
+        if name == RESERVED_GROUP:
+            reason = f"{name!r} is the group of the configuration"
+            yield Problem(ProblemKind.INVALID_VALUE, field, reason)
+        names.add(name)
+
+
 def _with_absolute_paths(settings: Settings, folder: Path) -> Settings:
     settings["key_file"] = str(folder / settings["key_file"])
     if "operator_key_file" in settings:
@@ -133,6 +149,7 @@
     if "control" in settings:
         control = settings["control"]
         control["data_folder"] = str(folder / control["data_folder"])
+        control.setdefault("cells", [settings["cell"]])
     return settings
 
 
--- a/src/sassafraswharf/settings/schema.py
+++ b/src/sassafraswharf/settings/schema.py
@@ -57,9 +57,10 @@
 
 
 class ControlSettings(TypedDict):
-    """Where the control part keeps its files."""
+    """Where the control part keeps its files, and the cells that it runs."""
 
     data_folder: FilePath
+    cells: NotRequired[Annotated[list[Name], msgspec.Meta(min_length=1, max_length=64)]]
 
 
 class Settings(TypedDict):
--- a/src/sassafraswharf_bench/local_deployment.py
+++ b/src/sassafraswharf_bench/local_deployment.py
@@ -30,12 +30,17 @@
 
 
 class HostSpec(NamedTuple):
-    """A host to start; ``control`` gives it a data folder and the control part."""
+    """A host to start; ``control`` gives it a data folder and the control part.
+
+    ``cells`` are the cells of the control part, its own ``cell`` if empty.
+    """
 
     name: str
     zone: str
     control: bool = True
     router: bool = True
+    cell: str = "cell-1"
+    cells: tuple[str, ...] = ()
 
 
 class StandInSpec(NamedTuple):
@@ -104,7 +109,7 @@
             "host": host.name,
             "region": "local",
             "zone": host.zone,
-            "cell": "cell-1",
+            "cell": host.cell,
             "key_file": "deployment.key",
             "bind": {"address": LOOPBACK, **self.ports[host.name]},
             "control_hosts": [
@@ -122,6 +127,8 @@
             settings["router"] = {}
         if host.control:
             settings["control"] = {"data_folder": f"data-{host.name}"}
+            if host.cells:
+                settings["control"]["cells"] = list(host.cells)
             settings["operator_key_file"] = "operator.key"
         path = self.folder / f"{host.name}.json"
         path.write_text(json.dumps(settings, indent=2))
--- a/tests/leases/test_leases.py
+++ b/tests/leases/test_leases.py
@@ -9,6 +9,12 @@
 from sassafraswharf.leases.messages import LeaseRefusal
 from sassafraswharf.leases.messages import LeaseRenewal
 from sassafraswharf.leases.messages import LeaseTiming
+from sassafraswharf.placement.load_view import UpstreamSample
+from sassafraswharf.placement.load_view import encode_load
+from sassafraswharf.transport.authenticator import Authenticator
+from sassafraswharf.transport.envelope import Channel
+from sassafraswharf.transport.envelope import MessageKind
+from sassafraswharf.transport.messages import encode
 
 
 SESSION = 7
@@ -91,7 +97,7 @@
     """Guards against a grant after the closing was proposed."""
     grantor = LeaseGrantor(LeaseTiming(), 100.0, [SESSION])
     assert grantor.expired(101.0) == [SESSION]
-    answer = grantor.on_renewal(LeaseRenewal("h", SESSION, 1, 0, 0, b""), 101.0)
+    answer = grantor.on_renewal(LeaseRenewal("h", "c", SESSION, 1, 0, 0, b""), 101.0)
     assert isinstance(answer, LeaseRefusal)
     assert grantor.expired(101.1) == [SESSION]
     grantor.released(SESSION)
@@ -101,7 +107,7 @@
 def test_old_renewal_does_not_extend() -> None:
     """Guards against replays that keep a dead host's slots from others."""
     grantor = LeaseGrantor(LeaseTiming(), 100.0, [SESSION])
-    renewal = LeaseRenewal("h", SESSION, 5, 0, 0, b"")
+    renewal = LeaseRenewal("h", "c", SESSION, 5, 0, 0, b"")
     assert isinstance(grantor.on_renewal(renewal, 100.1), LeaseAck)
     assert isinstance(grantor.on_renewal(renewal, 100.9), LeaseAck)
     assert grantor.expired(101.06) == [SESSION]
@@ -112,6 +118,22 @@
     grantor = LeaseGrantor(LeaseTiming(), 100.0, [])
     grantor.opened(SESSION, 100.0)
     grantor.superseded(SESSION)
-    renewal = LeaseRenewal("h", SESSION, 1, 0, 0, b"")
+    renewal = LeaseRenewal("h", "c", SESSION, 1, 0, 0, b"")
     assert isinstance(grantor.on_renewal(renewal, 100.1), LeaseRefusal)
     assert grantor.expired(100.96) == [SESSION]
+
+
+def test_a_renewal_is_small() -> None:
+    """Guards against control traffic beyond the limit of each host."""
+    sample = UpstreamSample("upstream-2400", 5_833.0, 6_000.0, ())
+    load = encode_load([sample])
+    renewal = LeaseRenewal(
+        "host-2400.eu-west-dub-a", "eu-west-dub-12", 2**31, 2**31, 2**20, 2**31, load
+    )
+    sealed = Authenticator(renewal.host, b"k" * 32, 2**60).seal(
+        Channel.LEASE,
+        MessageKind.LEASE_RENEWAL,
+        "host-1.eu-west-dub-b",
+        encode(renewal),
+    )
+    assert len(sealed.unwrap()) < 200
--- a/tests/settings/test_loader.py
+++ b/tests/settings/test_loader.py
@@ -58,6 +58,7 @@
     assert settings["router"]["header_timeout_s"] == 5.0
     assert settings["log_level"] == "info"
     assert settings["control"]["data_folder"] == str(tmp_path / "data")
+    assert settings["control"]["cells"] == [settings["cell"]]
 
 
 def change(path: str, value: object = ...) -> dict[str, Any]:
@@ -91,6 +92,9 @@
         (change("control_hosts", []), 1003, "control_hosts"),
         (change("control_hosts/0/name", "other"), 1003, "control_hosts"),
         (change("control_hosts", valid()["control_hosts"] * 2), 1003, "[1].name"),
+        (change("control/cells", ["c", "c"]), 1003, "control.cells[1]"),
+        (change("control/cells", ["configuration"]), 1003, "control.cells[0]"),
+        (change("control/cells", []), 1003, "control.cells"),
         (change("log_level", "loud"), 1003, "log_level"),
         (change("host", "Upper case"), 1003, "host"),
         (change("bind/lease_port"), 1004, "bind.lease_port"),
