End convictions by wall clock, forget upstreams, count the lease term

A router compares the end of a conviction with its wall clock, because the end makes no new table version. Of more than 256 upstreams that are gone the oldest are forgotten, unless their session is still open. Slots that never had an owner no longer count as unavailable time; those of a session whose lease has ended count from its last acknowledged renewal, which the leader puts into CloseSession and CloseSessions.

--- a/src/sassafraswharf/cell/controller.py
+++ b/src/sassafraswharf/cell/controller.py
@@ -24,6 +24,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
+    from collections.abc import Mapping
     from collections.abc import Sequence
 
     from sassafraswharf.cell.commands import Command
@@ -99,23 +100,27 @@
         loads: LoadView,
         now: float,
         at: float = 0.0,
+        silent_s: Mapping[SessionId, float] | None = None,
     ) -> list[Command]:
         """Return the commands to propose, in order.
 
         ``now`` is boot time for the planner's budget, ``at`` is wall-clock
-        time for the commands; both in seconds.
+        time for the commands, ``silent_s`` the time since the last renewal of
+        the expired sessions; all in seconds.
         """
+        silent = silent_s or {}
         ended = [
             session
             for session in expired
             if session in state.sessions
             and state.sessions[session].state != SessionState.CLOSED
         ]
+        times = tuple(round(silent.get(key, 0.0) * 1_000) for key in ended)
         commands: list[Command] = []
         if len(ended) == 1:
-            commands.append(CloseSession(ended[0], "lease expired", at))
+            commands.append(CloseSession(ended[0], "lease expired", at, times[0]))
         elif ended:
-            commands.append(CloseSessions(tuple(ended), "lease expired", at))
+            commands.append(CloseSessions(tuple(ended), "lease expired", at, times))
         gone = frozenset(ended)
         placed = self._place_all(state, gone, loads, now, at)
         commands += placed
--- a/src/sassafraswharf/cell/counters.py
+++ b/src/sassafraswharf/cell/counters.py
@@ -8,8 +8,11 @@
 class Counters(NamedTuple):
     """Totals since the cell was created, in slots and slot-seconds.
 
-    Unavailable time runs from the command that leaves a slot without an owner
-    to the one that assigns it; the lease term before that is not included.
+    Unavailable time runs until the command that assigns the slot. It starts
+    with the command that leaves the slot without an owner or, if a lease has
+    ended, with the last renewal that the leader has acknowledged, so that the
+    lease term is included. A new leader knows no earlier renewals and counts
+    from the start of its term. Slots that never had an owner don't count.
     ``slots_moved`` counts assignments to another upstream than the previous
     one, ``slots_returned`` those to the same upstream.
     """
--- a/src/sassafraswharf/cell/members.py
+++ b/src/sassafraswharf/cell/members.py
@@ -31,6 +31,7 @@
     from sassafraswharf.identifiers import UpstreamId
 
 
+MAX_GONE = 256
 ABSENT = (UpstreamState.GONE, UpstreamState.LOST)
 
 
@@ -162,9 +163,25 @@
         if state is None:
             message = f"{event.name.lower()} is not possible: {known.state.name}"
             return refused(ResultCode.INVALID_TRANSITION, str(upstream), message)
+        if state == UpstreamState.GONE:
+            # Those that have left last come last.
+            del self.upstreams[upstream]
         self.upstreams[upstream] = known._replace(state=state)
+        self.forget_upstreams()
         return accepted(str(upstream))
 
+    def forget_upstreams(self) -> None:
+        """Drop the oldest of more than 256 upstreams that are gone.
+
+        One that is forgotten may announce itself again with the same
+        incarnation. So it stays known while its router has the session in
+        which it left: its process may still run there.
+        """
+        gone = [u for u in self.upstreams.values() if u.state == UpstreamState.GONE]
+        ended = [u for u in gone if not self.may_be_served(u.session)]
+        for upstream in ended[: max(0, len(gone) - MAX_GONE)]:
+            del self.upstreams[upstream.upstream]
+
     def lose(self, command: UpstreamLost) -> Outcome:
         """Mark an upstream as lost unless a newer incarnation is known."""
         known = self.upstreams.get(command.upstream)
--- a/src/sassafraswharf/cell/slot_time.py
+++ b/src/sassafraswharf/cell/slot_time.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from sassafraswharf.cell import commands
+from sassafraswharf.ownership.slot_table import NOBODY
 
 
 if TYPE_CHECKING:
@@ -59,6 +60,8 @@
             if name not in services:
                 continue
             for holding, slots in table.holdings():
+                if holding == NOBODY:
+                    continue
                 if is_orphaned(holding):
                     self.orphaned += slots
                 elif holding.closing:
@@ -72,6 +75,22 @@
         )
 
 
+def unserved_slot_s(
+    tables: Mapping[ServiceName, SlotTable],
+    services: Container[ServiceName],
+    silent_ms: Mapping[SessionId, int],
+    is_orphaned: Callable[[Holding], bool],
+) -> float:
+    """Return for how long the slots of silent sessions have not been served."""
+    return sum(
+        silent_ms[holding.session] / 1_000 * slots
+        for name, table in tables.items()
+        if name in services
+        for holding, slots in table.holdings()
+        if holding.session in silent_ms and not is_orphaned(holding)
+    )
+
+
 def remembered(check: Callable[[Holding], bool]) -> Callable[[Holding], bool]:
     """Return a check that asks only once for each upstream and session.
 
--- a/src/sassafraswharf/cell/state.py
+++ b/src/sassafraswharf/cell/state.py
@@ -25,6 +25,7 @@
 from sassafraswharf.cell.slot_time import KEEPS_SLOT_TIME
 from sassafraswharf.cell.slot_time import SlotTime
 from sassafraswharf.cell.slot_time import remembered
+from sassafraswharf.cell.slot_time import unserved_slot_s
 from sassafraswharf.cell.snapshot import CellSnapshot
 from sassafraswharf.cell.snapshot import decode_snapshot
 from sassafraswharf.cell.snapshot import encode_snapshot
@@ -244,14 +245,22 @@
     def _open_session(self, index: int, command: commands.OpenSession) -> Outcome:
         return self.members.open_session(SessionId(index), command)
 
-    def _close_session(self, _index: int, command: commands.CloseSession) -> Outcome:
-        outcome = self.members.close_session(command.session)
+    def _close(self, silent_ms: dict[SessionId, int]) -> list[Outcome]:
+        check = self.orphan_check()
+        lost = unserved_slot_s(self.tables, self.services, silent_ms, check)
+        total = self.counters.unavailable_slot_s + lost
+        self.counters = self.counters._replace(unavailable_slot_s=total)
+        closed = [self.members.close_session(session) for session in silent_ms]
         self._forget_sessions()
-        return outcome
+        return closed
+
+    def _close_session(self, _index: int, command: commands.CloseSession) -> Outcome:
+        return self._close({command.session: command.silent_ms})[0]
 
     def _close_sessions(self, _index: int, command: commands.CloseSessions) -> Outcome:
-        closed = [self.members.close_session(session) for session in command.sessions]
-        self._forget_sessions()
+        silent_ms = dict.fromkeys(command.sessions, 0)
+        silent_ms.update(zip(command.sessions, command.silent_ms, strict=False))
+        closed = self._close(silent_ms)
         subjects = [outcome.subject for outcome in closed if outcome.changed]
         return accepted(", ".join(subjects), len(subjects))
 
@@ -361,17 +370,6 @@
             named |= table.sessions()
         self.members.forget_sessions(named)
 
-    def _crash(self, _index: int, command: commands.ReportCrash) -> Outcome:
-        return suspect_changes.report_crash(self.suspects, command, self.last_at)
-
-    def _clear(self, _index: int, command: commands.ClearSuspects) -> Outcome:
-        return suspect_changes.clear(self.suspects, command)
-
-    def _release_suspect(
-        self, _index: int, command: commands.ReleaseSuspect
-    ) -> Outcome:
-        return suspect_changes.release(self.suspects, command)
-
 
 _HANDLERS: dict[type[Any], Callable[[CellState, int, Any], Outcome]] = {
     commands.SetServices: CellState._set_services,
@@ -389,7 +387,13 @@
     commands.SlotsReleased: CellState._released,
     commands.AssignSlots: CellState._assign,
     commands.JournalReady: CellState._ready,
-    commands.ReportCrash: CellState._crash,
-    commands.ClearSuspects: CellState._clear,
-    commands.ReleaseSuspect: CellState._release_suspect,
+    commands.ReportCrash: lambda state, _, command: suspect_changes.report_crash(
+        state.suspects, command, state.last_at
+    ),
+    commands.ClearSuspects: lambda state, _, command: suspect_changes.clear(
+        state.suspects, command
+    ),
+    commands.ReleaseSuspect: lambda state, _, command: suspect_changes.release(
+        state.suspects, command
+    ),
 }
--- a/src/sassafraswharf/control/admin_api.py
+++ b/src/sassafraswharf/control/admin_api.py
@@ -38,6 +38,7 @@
 from sassafraswharf.identifiers import GroupId
 from sassafraswharf.identifiers import ReplicaId
 from sassafraswharf.identifiers import UpstreamId
+from sassafraswharf.membership.values import UpstreamState
 
 
 if TYPE_CHECKING:
@@ -285,7 +286,8 @@
         failure = await commit(cell, command(upstream, actor.ok_value, time.time()))
         if failure is not None:
             return self.refuse_for(cell.name, failure)
-        state = cell.state.upstreams[upstream].state.name.lower()
+        known = cell.state.upstreams.get(upstream)
+        state = (UpstreamState.GONE if known is None else known.state).name.lower()
         message = f"{upstream} is {state}"
         return web.json_response(
             {"code": 0, "message": message, "upstream": upstream, "state": state}
--- a/src/sassafraswharf/control/cell_part.py
+++ b/src/sassafraswharf/control/cell_part.py
@@ -109,7 +109,12 @@
         await self.follow_configuration()
         expired = self.desk.expired()
         commands = self.controller.tick(
-            self.state, expired, self.desk.loads, self.clock.now(), time.time()
+            self.state,
+            list(expired),
+            self.desk.loads,
+            self.clock.now(),
+            time.time(),
+            expired,
         )
         if commands:
             await asyncio.gather(*(self.commit(command) for command in commands))
--- a/src/sassafraswharf/control/lease_desk.py
+++ b/src/sassafraswharf/control/lease_desk.py
@@ -102,12 +102,17 @@
             self.reports.pop(session, None)
             self.loads.forget(session)
 
-    def expired(self) -> list[SessionId]:
-        """Return the sessions whose leases have ended."""
+    def expired(self) -> dict[SessionId, float]:
+        """Return the sessions whose leases have ended, and since when they are silent.
+
+        The values are seconds since the last renewal.
+        """
         if self.grantor is None:
-            return []
+            return {}
         self.follow_state()
-        return self.grantor.expired(self.clock.now())
+        now = self.clock.now()
+        ended = self.grantor.expired(now)
+        return {session: self.grantor.silent_s(session, now) for session in ended}
 
     def answer(
         self,
--- a/src/sassafraswharf/leases/grantor.py
+++ b/src/sassafraswharf/leases/grantor.py
@@ -89,6 +89,11 @@
         """Forget a session whose closing was applied."""
         self.leases.pop(session, None)
 
+    def silent_s(self, session: SessionId, now: float) -> float:
+        """Return the seconds since the last renewal, as far as it is known."""
+        lease = self.leases.get(session)
+        return 0.0 if lease is None else max(0.0, now - lease.renewed_at)
+
     def expired(self, now: float) -> list[SessionId]:
         """Return sessions whose holders can't hold a valid lease any more.
 
--- a/src/sassafraswharf/router/crash_watch.py
+++ b/src/sassafraswharf/router/crash_watch.py
@@ -50,8 +50,15 @@
     would otherwise reach an upstream that does not know the suspicion yet.
     """
 
-    def __init__(self, view: RouterView, clock: Clock, commit: Commit) -> None:
+    def __init__(
+        self,
+        view: RouterView,
+        clock: Clock,
+        commit: Commit,
+        wall_clock: Callable[[], float] = time.time,
+    ) -> None:
         self.view = view
+        self.wall_clock = wall_clock
         self.clock = clock
         self.commit = commit
         self.watch = LocalWatch()
@@ -71,15 +78,24 @@
     def treatment(self, digest: bytes) -> Treatment:
         """Return how a request may be run, by the cell and by this router."""
         self.follow_releases()
-        if digest in self.view.convictions:
+        if digest in self.convicted:
             return Treatment.REFUSED
         if digest in self.view.suspects:
             return Treatment.ALONE
         return self.watch.treatment(digest, self.clock.now())
 
     def follow_releases(self) -> None:
-        """Drop local convictions that the cell has ended."""
-        known = set(self.view.convictions)
+        """Drop local convictions that the cell has ended or that have run out.
+
+        A conviction runs out without a new version of the table, so the view
+        still holds it until something else changes.
+        """
+        now = self.wall_clock()
+        known = {
+            digest
+            for digest, conviction in self.view.convictions.items()
+            if conviction.until_at > now
+        }
         released = self.convicted - known
         if released:
             self.watch.spread((), (), released, self.clock.now())
--- a/tests/cell/test_state.py
+++ b/tests/cell/test_state.py
@@ -8,6 +8,7 @@
 from sassafraswharf.cell.codec import decode_reply
 from sassafraswharf.cell.codec import encode_command
 from sassafraswharf.cell.commands import ServiceSpec
+from sassafraswharf.cell.members import MAX_GONE
 from sassafraswharf.cell.state import CellState
 from sassafraswharf.cell.view import CellView
 from sassafraswharf.codes import ResultCode
@@ -277,3 +278,42 @@
     log.announce(session)
     view.apply(log.state.delta_since(view.version)).unwrap()
     assert not view.suspects
+
+
+def test_the_lease_term_of_a_lost_session_counts_as_unavailable() -> None:
+    """Guards against unavailable time that leaves out the wait for the lease."""
+    log = Log()
+    session = log.open()
+    log.announce(session)
+    log.do(commands.UpstreamLost("x", 1))
+    assert log.state.counters.unavailable_slot_s == 0
+    log.assign(session)
+    log.do(commands.CloseSession(session, "lease expired", silent_ms=950))
+    other = log.open("h2")
+    assert log.state.counters.unavailable_slot_s == pytest.approx(8 * 1.95)
+    log.announce(other, host="h2", name="u2")
+    log.assign(other, "u2")
+    before = log.state.counters.unavailable_slot_s
+    log.do(
+        commands.CloseSessions((other, 999), "lease expired", silent_ms=(500, 7_000))
+    )
+    assert log.state.counters.unavailable_slot_s - before == pytest.approx(8 * 0.5)
+
+
+def test_upstreams_that_left_are_forgotten() -> None:
+    """Guards against a list of upstreams that grows with every new name."""
+    log = Log()
+    first = log.open()
+    log.announce(first, name="still-running")
+    log.do(commands.DrainUpstream("still-running", "op"))
+    log.do(commands.RemoveUpstream("still-running", "op"))
+    for number in range(2 * MAX_GONE):
+        session = log.open("h2", number + 1)
+        log.announce(session, host="h2", name=f"u{number}")
+        log.do(commands.UpstreamLost(f"u{number}", 1))
+        log.do(commands.RemoveUpstream(f"u{number}", "op"))
+        log.do(commands.CloseSession(session, "stopped"))
+    assert len(log.state.upstreams) <= MAX_GONE + 1
+    assert "u0" not in log.state.upstreams
+    assert log.state.upstreams["still-running"].state == UpstreamState.GONE
+    assert log.announce(first, name="still-running").code == 4002
--- /dev/null
+++ b/tests/router/test_crash_watch.py
@@ -0,0 +1,42 @@
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from sassafraswharf.cell.delta import CellDelta
+from sassafraswharf.clock import BootClock
+from sassafraswharf.quarantine.local_watch import Treatment
+from sassafraswharf.quarantine.suspect_table import Conviction
+from sassafraswharf.router.crash_watch import CrashWatch
+from sassafraswharf.router.view import RouterView
+
+
+DIGEST = b"d" * 16
+
+
+@pytest.mark.parametrize(
+    ("wall", "suspects", "treatment"),
+    [
+        (99.0, (), Treatment.REFUSED),
+        (100.0, (), Treatment.NORMAL),
+        (100.0, (DIGEST,), Treatment.ALONE),
+    ],
+)
+def test_a_conviction_ends_by_the_wall_clock(
+    wall: float, suspects: tuple[bytes, ...], treatment: Treatment
+) -> None:
+    """Guards against refusals for as long as nothing else changes in the cell."""
+    now = 0.0
+
+    async def commit(_command: Any) -> bool:
+        return True
+
+    view = RouterView()
+    delta = CellDelta(0, 1, (), (), (), (Conviction(DIGEST, 100.0),), suspects)
+    view.apply(delta).unwrap()
+    crashes = CrashWatch(view, BootClock(), commit, lambda: now)
+    assert crashes.treatment(DIGEST) == Treatment.REFUSED
+    crashes.note_elsewhere(DIGEST, alone=True)
+    now = wall
+    assert crashes.treatment(DIGEST) == treatment
