--- /dev/null
+++ b/src/sassafraswharf/cell/audit_entries.py
@@ -0,0 +1,50 @@
+"""What the audit trail of a cell keeps of a command."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import Final
+
+from sassafraswharf.audit.trail import AuditEntry
+from sassafraswharf.cell import commands
+
+
+if TYPE_CHECKING:
+    from sassafraswharf.cell.outcome import Outcome
+
+
+ROUTINE: Final[frozenset[type[Any]]] = frozenset(
+    {
+        commands.SetJournalPeers,
+        commands.JournalPeersReady,
+        commands.SlotsReleased,
+        commands.JournalReady,
+        commands.ClearSuspects,
+    }
+)
+"""Steps that follow from an entry of the trail; one move of slots takes several of
+them, which would displace what operators have done."""
+
+
+def audit_entry(
+    index: int, command: commands.Command, outcome: Outcome
+) -> AuditEntry | None:
+    """Return the entry of a command, or None if it is not worth one.
+
+    Kept are changes and what operators asked for, also when it was refused.
+    """
+    operator = getattr(command, "actor", "")
+    if type(command) in ROUTINE or not (outcome.changed or operator):
+        return None
+    revision = index
+    if isinstance(command, commands.SetServices):
+        revision = command.revision
+    return AuditEntry(
+        command.at,
+        operator or getattr(command, "host", "cell"),
+        type(command).__name__,
+        outcome.subject,
+        revision,
+        int(outcome.code),
+    )
--- a/src/sassafraswharf/control/lease_desk.py
+++ b/src/sassafraswharf/control/lease_desk.py
@@ -5,13 +5,10 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
-from result import Err
-
 from sassafraswharf.codes import ResultCode
 from sassafraswharf.leases.grantor import LeaseGrantor
 from sassafraswharf.leases.messages import LeaseAck
 from sassafraswharf.leases.messages import LeaseRefusal
-from sassafraswharf.leases.messages import LeaseRenewal
 from sassafraswharf.membership.values import SessionState
 from sassafraswharf.placement.load_view import LoadView
 from sassafraswharf.transport import messages
@@ -25,10 +22,10 @@
     from sassafraswharf.clock import Clock
     from sassafraswharf.consensus.group_task import GroupTask
     from sassafraswharf.identifiers import SessionId
+    from sassafraswharf.leases.messages import LeaseRenewal
     from sassafraswharf.leases.messages import LeaseTiming
     from sassafraswharf.transport.datagrams import Address
     from sassafraswharf.transport.datagrams import DatagramEndpoint
-    from sassafraswharf.transport.envelope import Envelope
 
 
 class HostReport(NamedTuple):
@@ -105,28 +102,32 @@
             self.reports.pop(session, None)
             self.loads.forget(session)
 
-    def expired(self) -> list[SessionId]:
-        """Return the sessions whose leases have ended."""
+    def expired(self) -> dict[SessionId, float]:
+        """Return the sessions whose leases have ended, and since when they are silent.
+
+        The values are seconds since the last renewal.
+        """
         if self.grantor is None:
-            return []
+            return {}
         self.follow_state()
-        return self.grantor.expired(self.clock.now())
+        now = self.clock.now()
+        ended = self.grantor.expired(now)
+        return {session: self.grantor.silent_s(session, now) for session in ended}
 
     def answer(
-        self, envelope: Envelope, address: Address, endpoint: DatagramEndpoint
+        self,
+        renewal: LeaseRenewal,
+        sender: str,
+        address: Address,
+        endpoint: DatagramEndpoint,
     ) -> None:
         """Answer a renewal that came from ``address``."""
-        decoded = messages.decode(envelope.body, LeaseRenewal)
-        if isinstance(decoded, Err):
-            endpoint.on_dropped(decoded.err_value)
-            return
-        renewal = decoded.ok_value
         answer = self.decide(renewal)
         kind = MessageKind.LEASE_REFUSAL
         if isinstance(answer, LeaseAck):
             kind = MessageKind.LEASE_ACK
             self.take_report(renewal, address)
-        endpoint.send(address, envelope.sender, kind, messages.encode(answer))
+        endpoint.send(address, sender, kind, messages.encode(answer))
 
     def decide(self, renewal: LeaseRenewal) -> LeaseAck | LeaseRefusal:
         """Extend the lease, or refuse it as another replica may be leader."""
--- a/src/sassafraswharf_bench/slopes/wire.py
+++ b/src/sassafraswharf_bench/slopes/wire.py
@@ -6,6 +6,7 @@
 
 from result import Err
 
+from sassafraswharf.identifiers import CellId
 from sassafraswharf.identifiers import HostId
 from sassafraswharf.identifiers import SessionId
 from sassafraswharf.leases.messages import LeaseAck
@@ -62,6 +63,7 @@
     """Return a renewal."""
     return LeaseRenewal(
         HostId(HOST),
+        CellId("cell-1"),
         SessionId(4_213_907),
         sequence,
         1_423_500,
