--- a/src/sassafraswharf/journal/journal_store.py
+++ b/src/sassafraswharf/journal/journal_store.py
@@ -61,6 +61,7 @@
         self.expiries: list[tuple[float, JournalKey]] = []
         self.sealed_epochs: dict[tuple[ServiceName, int], int] = {}
         self.complete_generations: dict[SessionId, int] = {}
+        self.retentions: dict[int, int] = {}
         self.bytes = 0
 
     def handle(self, batch: JournalBatch, now: float) -> JournalReply:
@@ -201,7 +202,9 @@
             )
             if record.body_digest == known.body_digest:
                 record = record._replace(body_digest=known.body_digest)
-        record = self._fitted(record, known)
+        # Decoded numbers above 256 take 28 bytes each unless they are shared.
+        retention_s = self.retentions.setdefault(record.retention_s, record.retention_s)
+        record = self._fitted(record._replace(retention_s=retention_s), known)
         growth = record.size - (known.size if known is not None else 0)
         if known is None and self.bytes + growth > max_bytes:
             return ResultCode.JOURNAL_FULL
