Reserve the solo run of a suspect in the cell

Two routers could run a suspect alone at the same time and crash two more upstreams. A router now reserves the run with ReserveSolo; one session has it until ClearSuspects, a crash report or the time of the run.

--- a/src/sassafraswharf/cell/codec.py
+++ b/src/sassafraswharf/cell/codec.py
@@ -37,6 +37,7 @@
     16: commands.ClearSuspects,
     17: commands.ReleaseSuspect,
     18: commands.CloseSessions,
+    19: commands.ReserveSolo,
 }
 """Tags are stored in logs: never reuse or renumber one."""
 
--- a/src/sassafraswharf/cell/commands.py
+++ b/src/sassafraswharf/cell/commands.py
@@ -198,6 +198,18 @@
     at: float = 0.0
 
 
+class ReserveSolo(NamedTuple):
+    """A router wants to run a suspect alone; code 0 says that it may.
+
+    ``seconds`` is how long the run may take at most.
+    """
+
+    digest: bytes
+    session: SessionId
+    seconds: int
+    at: float = 0.0
+
+
 class ClearSuspects(NamedTuple):
     """These suspects ran alone and their upstream did not crash."""
 
@@ -230,6 +242,7 @@
     | AssignSlots
     | JournalReady
     | ReportCrash
+    | ReserveSolo
     | ClearSuspects
     | ReleaseSuspect
 )
--- a/src/sassafraswharf/cell/slot_time.py
+++ b/src/sassafraswharf/cell/slot_time.py
@@ -26,6 +26,7 @@
     commands.JournalPeersReady,
     commands.JournalReady,
     commands.ReportCrash,
+    commands.ReserveSolo,
     commands.ClearSuspects,
     commands.ReleaseSuspect,
 )
--- a/src/sassafraswharf/cell/snapshot.py
+++ b/src/sassafraswharf/cell/snapshot.py
@@ -21,6 +21,7 @@
 from sassafraswharf.membership.values import Upstream
 from sassafraswharf.ownership.values import PackedTable
 from sassafraswharf.quarantine.suspect_table import CrashSeen
+from sassafraswharf.quarantine.suspect_table import Solo
 from sassafraswharf.quarantine.suspect_table import Suspect
 
 
@@ -40,6 +41,7 @@
     crashes: tuple[CrashSeen, ...]
     counters: Counters
     list_versions: ListVersions
+    solos: tuple[Solo, ...]
 
 
 def encode_snapshot(snapshot: CellSnapshot) -> bytes:
--- a/src/sassafraswharf/cell/state.py
+++ b/src/sassafraswharf/cell/state.py
@@ -146,6 +146,7 @@
                 tuple(self.suspects.crashes),
                 self.counters,
                 self.list_versions,
+                tuple(self.suspects.solos.values()),
             )
         )
 
@@ -162,7 +163,7 @@
             packed.service: SlotTable.unpack(packed) for packed in value.tables
         }
         self.trail = AuditTrail(value.trail)
-        self.suspects = SuspectTable(value.suspects, value.crashes)
+        self.suspects = SuspectTable(value.suspects, value.crashes, value.solos)
         self.counters = value.counters
         self.list_versions = value.list_versions
         self.slot_time.is_stale = True
@@ -181,9 +182,7 @@
         operator = getattr(command, "actor", "")
         if not outcome.changed and not operator:
             return
-        revision = index
-        if isinstance(command, commands.SetServices):
-            revision = command.revision
+        revision = getattr(command, "revision", index)
         self.trail.record(
             AuditEntry(
                 command.at,
@@ -206,11 +205,9 @@
     def _set_services(self, _index: int, command: commands.SetServices) -> Outcome:
         subject = f"revision {command.revision}"
         if command.revision <= self.revision:
-            message = f"revision {self.revision} is in force"
-            code = ResultCode.CONFIGURATION_CONFLICT
-            if command.revision == self.revision:
-                code = ResultCode.OK
-            return refused(code, subject, message)
+            is_same = command.revision == self.revision
+            code = ResultCode.OK if is_same else ResultCode.CONFIGURATION_CONFLICT
+            return refused(code, subject, f"revision {self.revision} is in force")
         for spec in command.services:
             problem = self._problem_of(spec)
             if problem:
@@ -218,8 +215,7 @@
         self.revision = command.revision
         self.services = {spec.name: spec for spec in command.services}
         for spec in command.services:
-            # A service that returns keeps its table: a session may still serve
-            # its slots.
+            # A session may still serve slots of a service that returns.
             if spec.name not in self.tables:
                 self.tables[spec.name] = SlotTable(spec.name, spec.slot_count)
         self._admit_announced()
@@ -352,8 +348,9 @@
         def accepts(upstream: UpstreamId, session: SessionId) -> bool:
             return self.members.accepts_slots(upstream, session, command.service)
 
+        check = self.orphan_check()
+
         def change(table: SlotTable) -> int:
-            check = self.orphan_check()
             done = slot_changes.assign(table, command, index, check, accepts)
             self.counters = self.counters._replace(
                 slots_assigned=self.counters.slots_assigned + done.assigned,
@@ -390,6 +387,9 @@
     commands.ReportCrash: lambda state, _, command: suspect_changes.report_crash(
         state.suspects, command, state.last_at
     ),
+    commands.ReserveSolo: lambda state, _, command: suspect_changes.reserve_solo(
+        state.suspects, command, state.last_at
+    ),
     commands.ClearSuspects: lambda state, _, command: suspect_changes.clear(
         state.suspects, command
     ),
--- a/src/sassafraswharf/cell/suspect_changes.py
+++ b/src/sassafraswharf/cell/suspect_changes.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from sassafraswharf.cell.outcome import Outcome
 from sassafraswharf.cell.outcome import accepted
 from sassafraswharf.cell.outcome import refused
 from sassafraswharf.codes import ResultCode
@@ -14,7 +15,7 @@
     from sassafraswharf.cell.commands import ClearSuspects
     from sassafraswharf.cell.commands import ReleaseSuspect
     from sassafraswharf.cell.commands import ReportCrash
-    from sassafraswharf.cell.outcome import Outcome
+    from sassafraswharf.cell.commands import ReserveSolo
     from sassafraswharf.quarantine.suspect_table import SuspectTable
 
 
@@ -25,6 +26,14 @@
     return accepted(_subject(changed), len(changed))
 
 
+def reserve_solo(table: SuspectTable, command: ReserveSolo, at: float) -> Outcome:
+    """Let one session run a suspect alone; routers need no new table for it."""
+    subject = command.digest.hex()
+    if not table.reserve(command.digest, command.session, command.seconds, at):
+        return refused(ResultCode.SOLO_RESERVED, subject, "another host runs it")
+    return Outcome(ResultCode.OK, subject, 0)
+
+
 def clear(table: SuspectTable, command: ClearSuspects) -> Outcome:
     """Forget suspects that ran alone without a crash."""
     cleared = [digest for digest in command.digests if table.clear(digest)]
--- a/src/sassafraswharf/quarantine/suspect_table.py
+++ b/src/sassafraswharf/quarantine/suspect_table.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from sassafraswharf.identifiers import SessionId
 from sassafraswharf.identifiers import UpstreamId
 from sassafraswharf.marked_dict import MarkedDict
 
@@ -21,6 +22,7 @@
 SUSPICION_S = 600.0
 MAX_SUSPECTS = 4_096
 MAX_CRASHES = 1_024
+MAX_SOLOS = 1_024
 
 
 class Suspect(NamedTuple):
@@ -51,6 +53,14 @@
     incarnation: int
 
 
+class Solo(NamedTuple):
+    """The session that may run a suspect alone until an instant."""
+
+    digest: bytes
+    session: SessionId
+    until: float
+
+
 class SuspectTable:
     """Counts crashes per request; deterministic, part of the cell's state.
 
@@ -59,10 +69,14 @@
     """
 
     def __init__(
-        self, suspects: Iterable[Suspect] = (), crashes: Iterable[CrashSeen] = ()
+        self,
+        suspects: Iterable[Suspect] = (),
+        crashes: Iterable[CrashSeen] = (),
+        solos: Iterable[Solo] = (),
     ) -> None:
         self.suspects = MarkedDict((value.digest, value) for value in suspects)
         self.crashes = dict.fromkeys(crashes)
+        self.solos = {solo.digest: solo for solo in solos}
 
     def report_crash(
         self, crash: CrashSeen, digests: Sequence[bytes], alone: bool, at: float
@@ -76,12 +90,32 @@
         ran_alone = alone and len(digests) == 1
         unique = list(dict.fromkeys(digests))
         for digest in unique:
+            self.solos.pop(digest, None)
             self._count(digest, ran_alone, at)
         self._bound()
         return unique
 
+    def reserve(
+        self, digest: bytes, session: SessionId, seconds: float, at: float
+    ) -> bool:
+        """Reserve the solo run of a request for one session.
+
+        It is freed by a crash report, by ``clear`` or when the time has passed,
+        at the latest after 600 s. The digest need not be known as a suspect:
+        a router treats a request as one before the cell has heard of the crash.
+        """
+        suspect = self.suspects.get(digest)
+        solo = self.solos.get(digest)
+        taken = solo is not None and solo.session != session and solo.until > at
+        is_full = solo is None and len(self.solos) >= MAX_SOLOS
+        if taken or is_full or (suspect is not None and suspect.convicted_until):
+            return False
+        self.solos[digest] = Solo(digest, session, at + min(seconds, SUSPICION_S))
+        return True
+
     def clear(self, digest: bytes) -> bool:
         """Forget a suspect that ran alone without a crash."""
+        self.solos.pop(digest, None)
         suspect = self.suspects.get(digest)
         if suspect is None or suspect.convicted_until:
             return False
@@ -100,6 +134,8 @@
 
     def expire(self, at: float) -> list[bytes]:
         """Drop convictions and suspicions that have ended, and return them."""
+        for solo in [solo for solo in self.solos.values() if solo.until <= at]:
+            del self.solos[solo.digest]
         over = [
             digest for digest, suspect in self.suspects.items() if _end(suspect) <= at
         ]
--- a/src/sassafraswharf/router/crash_watch.py
+++ b/src/sassafraswharf/router/crash_watch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
 
 from typing import TYPE_CHECKING
@@ -12,6 +13,7 @@
 
 from sassafraswharf.cell.commands import ClearSuspects
 from sassafraswharf.cell.commands import ReportCrash
+from sassafraswharf.cell.commands import ReserveSolo
 from sassafraswharf.cell.commands import UpstreamLost
 from sassafraswharf.quarantine.local_watch import LocalWatch
 from sassafraswharf.quarantine.local_watch import Treatment
@@ -24,6 +26,7 @@
 
     from sassafraswharf.cell.commands import Command
     from sassafraswharf.clock import Clock
+    from sassafraswharf.identifiers import SessionId
     from sassafraswharf.identifiers import UpstreamId
     from sassafraswharf.membership.values import Upstream
     from sassafraswharf.router.upstream_runner import UpstreamRunner
@@ -37,6 +40,7 @@
 REPORT_WAIT_S: Final = 1.0
 SPREAD_S: Final = 0.15
 """How long the other routers need to pull a committed suspicion."""
+SOLO_POLL_S: Final = 0.5
 NOTED_S: Final = 5.0
 DOUBT_S: Final = 3.0
 """An upstream that has not announced a new incarnation by then did not crash."""
@@ -67,6 +71,8 @@
         self.deaths: dict[tuple[UpstreamId, int], asyncio.Task[None]] = {}
         self.others: set[asyncio.Task[None]] = set()
         self.convicted: set[bytes] = set()
+        self.solos: set[bytes] = set()
+        self.solo_freed = ChangeSignal()
 
     async def stop(self) -> None:
         """Stop all probes and reports."""
@@ -110,9 +116,44 @@
     def finished(self, upstream: UpstreamId, request_id: int) -> None:
         """Note that a request ended without a crash."""
         cleared = self.watch.finished(upstream, request_id)
-        if cleared is not None and cleared in self.view.suspects:
+        if cleared is not None and cleared in self.view.suspects | self.solos:
             self.run_aside(self.commit_only(ClearSuspects((cleared,), time.time())))
 
+    async def reserve_solo(
+        self, digest: bytes, session: SessionId, time_left_s: float
+    ) -> bool:
+        """Return whether this router may run a suspect alone now.
+
+        The cell lets one session at a time. Wait with ``no_solo`` before the
+        call, and call ``solo_ended`` after the run.
+        """
+        if digest in self.solos:
+            return False
+        self.solos.add(digest)
+        seconds = math.ceil(max(time_left_s, 0.0) + DOUBT_S)
+        reserved = False
+        try:
+            reserved = await self.commit(ReserveSolo(digest, session, seconds))
+        finally:
+            if not reserved:
+                self.solo_ended(digest)
+        return reserved
+
+    def solo_ended(self, digest: bytes) -> None:
+        """Let this router try to run the request again."""
+        self.solos.discard(digest)
+        self.solo_freed.notify()
+
+    async def no_solo(self, digest: bytes, until: float) -> Treatment:
+        """Wait while this router runs the request alone; return its treatment.
+
+        A caller of a request that many send would otherwise be refused because
+        it once ran beside one that crashed.
+        """
+        while digest in self.solos and self.clock.now() < until:
+            await self.solo_freed.wait(min(until - self.clock.now(), SOLO_POLL_S))
+        return self.treatment(digest)
+
     async def connection_lost(self, runner: UpstreamRunner, request_id: int) -> None:
         """Find out whether the upstream died, and wait for the report of it."""
         name = runner.upstream.upstream
--- a/src/sassafraswharf/router/local_service.py
+++ b/src/sassafraswharf/router/local_service.py
@@ -31,6 +31,7 @@
     from sassafraswharf.router.view import RouterView
 
 
+SOLO_RETRY_S: Final = 1.0
 NO_SLOT: Final = -1
 """The slot of a request that any upstream of its service may run."""
 
@@ -85,19 +86,49 @@
             return refused(quarantined(request.digest))
         solo = request.solo or treatment is Treatment.ALONE
         if not request.is_journaled or ownership is None:
-            permit = self.permit(upstream, ownership)
-            return await runner.run(request, permit, solo=solo)
+            return await self.run(runner, request, ownership, solo=solo)
 
         async def run(before_dispatch: BeforeDispatch) -> RunResult:
-            return await runner.run(
-                request,
-                self.permit(upstream, ownership),
-                solo=solo,
-                before_dispatch=before_dispatch,
+            return await self.run(
+                runner, request, ownership, before_dispatch, solo=solo
             )
 
         return await self.journal.serve(request, ownership, run)
 
+    async def run(
+        self,
+        runner: UpstreamRunner,
+        request: Incoming,
+        ownership: Ownership | None,
+        before_dispatch: BeforeDispatch | None = None,
+        *,
+        solo: bool,
+    ) -> RunResult:
+        """Run a request, a suspect only if no other router runs it."""
+        permit = self.permit(runner.upstream.upstream, ownership)
+        if solo:
+            treatment = await self.crashes.no_solo(request.digest, request.deadline_at)
+            if treatment is Treatment.REFUSED:
+                return refused(quarantined(request.digest))
+            solo = request.solo or treatment is Treatment.ALONE
+        if not solo:
+            return await runner.run(
+                request, permit, solo=False, before_dispatch=before_dispatch
+            )
+        left_s = request.deadline_at - self.clock.now()
+        digest = request.digest
+        if not await self.crashes.reserve_solo(digest, self.holder.session, left_s):
+            message = f"another request with digest {digest.hex()} is run alone"
+            failure = Failure(ResultCode.SOLO_RESERVED, message)
+            answer = refusal(failure, retry_after_s=SOLO_RETRY_S)
+            return RunResult(answer, OutcomeKind.NOT_RUN)
+        try:
+            return await runner.run(
+                request, permit, solo=True, before_dispatch=before_dispatch
+            )
+        finally:
+            self.crashes.solo_ended(digest)
+
     def reason_to_refuse(
         self, runner: UpstreamRunner | None, ownership: Ownership | None
     ) -> Failure | None:
--- a/tests/processes/test_crashing_requests.py
+++ b/tests/processes/test_crashing_requests.py
@@ -18,10 +18,14 @@
 
 
 async def status_and_code(
-    local: LocalDeployment, method: str, path: str, key: str | None = None
+    local: LocalDeployment,
+    method: str,
+    path: str,
+    key: str | None = None,
+    host: str = "dub-a-1",
 ) -> tuple[int, int]:
     fields = {} if key is None else {"Idempotency-Key": key}
-    url = f"{local.public_url('dub-a-1')}{path}"
+    url = f"{local.public_url(host)}{path}"
     async with local.client.request(method, url, headers=fields) as response:
         await response.read()
         return response.status, int(response.headers["Sassafraswharf-Code"])
@@ -76,3 +80,35 @@
     assert crashes <= most_crashes
     assert codes[-1] == last_code
     assert set(innocents) == {200}
+
+
+async def crash_from_two_callers(folder: Path) -> tuple[int, list[int]]:
+    """Send one request to two routers at once, again and again."""
+    async with LocalDeployment(folder, demo.HOSTS) as local:
+        await local.start_hosts()
+        await local.apply(demo.configuration(), "crash")
+        for spec in demo.STAND_INS:
+            await local.start_stand_in(spec)
+        await local.wait_until_owned()
+        path = "/deposit/merlin/deposits?mark=crash"
+        # The first crash makes it a suspect; both callers then ask for solo runs.
+        _, first = await status_and_code(local, "POST", path)
+        assert first >= 3200
+        codes: list[int] = []
+        for _ in range(RESENDS):
+            both = [
+                status_and_code(local, "POST", path, host=host)
+                for host in ("dub-b-1", "dub-c-1")
+            ]
+            codes += [code for _, code in await asyncio.gather(*both)]
+        crashes = sum(
+            local.processes[spec.name].returncode is not None for spec in demo.STAND_INS
+        )
+        return crashes, codes
+
+
+def test_two_callers_of_a_suspect_crash_one_more_upstream(tmp_path: Path) -> None:
+    """Guards against two solo runs at the same time behind two routers."""
+    crashes, codes = asyncio.run(crash_from_two_callers(tmp_path))
+    assert crashes <= 2
+    assert codes[-2:] == [3109, 3109]
--- a/tests/quarantine/test_suspect_table.py
+++ b/tests/quarantine/test_suspect_table.py
@@ -79,3 +79,33 @@
     assert table.convictions() == ()
     table.report_crash(crash(4), [POISON], True, 7.0)
     assert table.expire(7.0 + CONVICTION_S) == [POISON]
+
+
+@pytest.mark.parametrize(
+    ("event", "is_free"),
+    [("nothing", False), ("clear", True), ("crash", True), ("time", True)],
+)
+def test_one_session_runs_a_suspect_alone(event: str, is_free: bool) -> None:
+    """Guards against two routers that each crash an upstream by a solo run."""
+    table = SuspectTable()
+    table.report_crash(CrashSeen("u1", 1), [b"d"], False, 0.0)
+    assert table.reserve(b"d", 1, 10, 0.0)
+    assert table.reserve(b"d", 1, 10, 1.0)
+    assert not table.reserve(b"d", 2, 10, 2.0)
+    assert table.reserve(b"e", 2, 10, 2.0)
+    if event == "clear":
+        table.clear(b"d")
+    if event == "crash":
+        table.report_crash(CrashSeen("u2", 1), [b"d"], False, 3.0)
+    at = 11.0 if event == "time" else 3.0
+    table.expire(at)
+    assert table.reserve(b"d", 2, 10, at) == is_free
+
+
+def test_a_convicted_request_is_not_reserved() -> None:
+    """Guards against a solo run of a request that must not run at all."""
+    table = SuspectTable()
+    table.report_crash(CrashSeen("u1", 1), [b"d"], False, 0.0)
+    assert table.reserve(b"d", 1, 10, 0.0)
+    table.report_crash(CrashSeen("u2", 1), [b"d"], True, 1.0)
+    assert not table.reserve(b"d", 1, 10, 1.0)
