--- a/src/sassafraswharf/cell/audit_entries.py
+++ b/src/sassafraswharf/cell/audit_entries.py
@@ -20,6 +20,7 @@
         commands.JournalPeersReady,
         commands.SlotsReleased,
         commands.JournalReady,
+        commands.ReserveSolo,
         commands.ClearSuspects,
     }
 )
--- a/src/sassafraswharf/cell/codec.py
+++ b/src/sassafraswharf/cell/codec.py
@@ -38,6 +38,7 @@
     17: commands.ReleaseSuspect,
     18: commands.CloseSessions,
     19: commands.ReleaseJournal,
+    20: commands.ReserveSolo,
 }
 """Tags are stored in logs: never reuse or renumber one."""
 
