--- a/src/sassafraswharf/observability/metrics.py
+++ b/src/sassafraswharf/observability/metrics.py
@@ -54,6 +54,23 @@
         values = self.counts[name]
         values[key] = values.get(key, 0) + amount
 
+    def observe(
+        self,
+        name: str,
+        read: Callable[[], Iterable[tuple[int, Mapping[str, str]]]],
+        description: str,
+        unit: str = "1",
+    ) -> None:
+        """Declare a counter whose values and labels are read when collected."""
+
+        def observe(_options: CallbackOptions) -> Iterable[Observation]:
+            return [
+                Observation(value, {**self.attributes, **labels})
+                for value, labels in read()
+            ]
+
+        self.meter.create_observable_counter(name, [observe], unit, description)
+
     def gauge(
         self,
         name: str,
--- a/src/sassafraswharf/router/request_path.py
+++ b/src/sassafraswharf/router/request_path.py
@@ -29,6 +29,8 @@
 if TYPE_CHECKING:
     import random
 
+    from collections.abc import Callable
+
     from sassafraswharf.clock import Clock
     from sassafraswharf.identifiers import ServiceName
     from sassafraswharf.membership.values import Session
@@ -93,6 +95,7 @@
         self.budgets: dict[ServiceName, RetryBudget] = {}
         self.incarnations: dict[UpstreamId, int] = {}
         self.chosen_version = 0
+        self.on_retry: Callable[[str], None] = lambda _reason: None
 
     async def serve(self, request: Incoming) -> Attempt:
         """Return the whole answer or a refusal, with the address of the owner."""
@@ -110,6 +113,7 @@
             self.note_crash(request, attempt)
             if not await self.tries_again(request, attempt, budget, hold_until):
                 return final(attempt)
+            self.on_retry(attempt.answer.code.name.lower())
             if attempt.crashed:
                 request = request._replace(solo=True)
 
--- a/src/sassafraswharf/router/router_part.py
+++ b/src/sassafraswharf/router/router_part.py
@@ -23,6 +23,7 @@
 from sassafraswharf.requests.outcome import Exchange
 from sassafraswharf.requests.upstream_choice import UpstreamChoice
 from sassafraswharf.router import headers
+from sassafraswharf.router import router_metrics
 from sassafraswharf.router.announcement import MAX_ANNOUNCEMENT_BYTES
 from sassafraswharf.router.announcement import read_announcement
 from sassafraswharf.router.answers import refusal
@@ -34,6 +35,7 @@
 from sassafraswharf.router.journal_slots import JournalSlots
 from sassafraswharf.router.journal_task import JOURNAL_PATH
 from sassafraswharf.router.journal_task import JournalTask
+from sassafraswharf.router.latency import LatencyCounts
 from sassafraswharf.router.load_meter import LoadMeter
 from sassafraswharf.router.local_service import LocalService
 from sassafraswharf.router.local_upstreams import LocalUpstreams
@@ -60,7 +62,6 @@
 JOURNAL_TIMEOUT_S: Final = 2.0
 MAX_JOURNAL_BYTES: Final = 32 * 1_048_576
 LOCAL_PREFIX: Final = "/-/"
-REQUESTS_METRIC: Final = "sassafraswharf_requests"
 
 
 class RouterPart:
@@ -147,7 +148,9 @@
             max_header_bytes=2 * limits["max_header_bytes"],
             header_timeout_s=limits["header_timeout_s"],
         )
-        metrics.counter(REQUESTS_METRIC, "code", "Requests of callers by result code")
+        self.latency = LatencyCounts()
+        router_metrics.declare(metrics, self, self.latency)
+        self.path.on_retry = lambda reason: metrics.add(router_metrics.RETRIES, reason)
 
     async def start(self) -> None:
         """Listen and join the cell; raises ``TransportError``."""
@@ -189,9 +192,17 @@
         else:
             attempt = await self.serve(incoming.ok_value)
             answer, owner = attempt.answer, attempt.owner_address
-        self.metrics.add(REQUESTS_METRIC, str(int(answer.code)))
+            self.count_latency(incoming.ok_value)
+        self.metrics.add(router_metrics.REQUESTS, str(int(answer.code)))
         return to_response(answer, owner, close=self.local.stopping)
 
+    def count_latency(self, request: Incoming) -> None:
+        """Count how long the caller of a request waited."""
+        classification = request.classification
+        kind = "lookup" if classification.repeatable else "at_most_once"
+        waited_s = self.clock.now() - request.arrived_at
+        self.latency.record(classification.service, kind, waited_s)
+
     async def serve(self, request: Incoming) -> Attempt:
         """Serve a request; after a defect its outcome is unknown."""
         try:
