Take the ports of local deployments from below the ephemeral range

Cause: a port chosen by the kernel was sometimes taken by an outgoing connection before the daemon bound it ("can't listen on 127.0.0.1:36015: Address in use"), so a deployment of three hosts began without one and elected nobody for the configuration. Ruled out: the founding of the group, which waits for all hosts as it should.

--- a/src/sassafraswharf_bench/local_deployment.py
+++ b/src/sassafraswharf_bench/local_deployment.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import random
 import signal
 import socket
 import sys
@@ -25,6 +26,8 @@
 
 LOOPBACK = "127.0.0.1"
 STOP_TIMEOUT_S = 40.0
+FIRST_PORT = 10_240
+LAST_PORT = 32_000
 READY_POLL_S = 0.05
 OPERATOR_KEY = "operator-key-of-a-local-deployment"
 PORTS = ("public_port", "internal_port", "control_port", "lease_port", "admin_port")
@@ -56,7 +59,7 @@
 class LocalDeployment:
     """Starts and stops daemons and stand-ins, one process each.
 
-    All processes listen on loopback with ports chosen by the kernel. Use it as
+    All processes listen on loopback, on ports that the kernel says are free. Use it as
     an asynchronous context manager: leaving it ends every process that it
     started.
     """
@@ -288,15 +291,26 @@
 
 
 def free_ports() -> dict[str, int]:
-    """Return ports that are free for TCP and UDP at the moment."""
-    sockets = []
-    ports = {}
-    for name in PORTS:
-        kind = socket.SOCK_DGRAM if name == "lease_port" else socket.SOCK_STREAM
-        item = socket.socket(socket.AF_INET, kind)
-        item.bind((LOOPBACK, 0))
-        ports[name] = item.getsockname()[1]
-        sockets.append(item)
-    for item in sockets:
-        item.close()
+    """Return ports that are free for TCP and UDP at the moment.
+
+    They lie below the range from which the kernel takes ports of outgoing
+    connections. A port from that range was sometimes taken between this call
+    and the start of the daemon, or while a daemon was restarted.
+    """
+    ports: dict[str, int] = {}
+    while len(ports) < len(PORTS):
+        port = random.randrange(FIRST_PORT, LAST_PORT)
+        if port not in ports.values() and is_free(port):
+            ports[PORTS[len(ports)]] = port
     return ports
+
+
+def is_free(port: int) -> bool:
+    """Return whether the kernel lets a process bind the port."""
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as item:
+            try:
+                item.bind((LOOPBACK, port))
+            except OSError:
+                return False
+    return True
