Repeat the services of a revision until the cell has them

Cause (by reading): the revision counted as taken over before the command was committed; after a commit that failed the cell kept the old services until the next leader or revision.

--- a/src/sassafraswharf/control/cell_part.py
+++ b/src/sassafraswharf/control/cell_part.py
@@ -27,6 +27,8 @@
     from sassafraswharf.cell.commands import Command
     from sassafraswharf.cell.state import CellState
     from sassafraswharf.clock import Clock
+    from sassafraswharf.configuration.documents import DeploymentDocument
+    from sassafraswharf.configuration.documents import ServiceDocument
     from sassafraswharf.configuration.state import ConfigurationState
     from sassafraswharf.consensus.group_task import GroupTask
     from sassafraswharf.identifiers import GroupId
@@ -139,27 +141,24 @@
         if isinstance(document, Err):
             logging.error("revision %d: %s", newest.revision, document.err_value)
             return
-        weights = document.ok_value["weights"]
-        placement = document.ok_value["placement"]
+        self.configure(document.ok_value)
+        if self.state.revision < newest.revision:
+            specs = tuple(map(service_spec, document.ok_value["services"]))
+            await self.commit(SetServices(newest.revision, specs, at=time.time()))
+        # A commit that failed is repeated by the next tick.
+        if self.state.revision >= newest.revision:
+            self.configured_revision = newest.revision
+
+    def configure(self, document: DeploymentDocument) -> None:
+        """Use the weights and limits of a configuration."""
+        placement = document["placement"]
         self.controller.configure(
-            Weights(**weights),
+            Weights(**document["weights"]),
             PlannerLimits(
                 moves_per_minute=placement["moves_per_minute"],
                 min_benefit=placement["minimum_benefit"],
             ),
         )
-        self.configured_revision = newest.revision
-        if self.state.revision >= newest.revision:
-            return
-        specs = tuple(
-            ServiceSpec(
-                ServiceName(service["name"]),
-                service["slot_count"],
-                service["admit"] == "any",
-            )
-            for service in document.ok_value["services"]
-        )
-        await self.commit(SetServices(newest.revision, specs, at=time.time()))
 
     def imbalance(self) -> dict[str, float]:
         """Return the highest load per speed over the mean, per service.
@@ -176,3 +175,10 @@
             mean = sum(shares) / len(shares) if shares else 0.0
             found[str(service)] = max(shares) / mean if mean > 0 else 1.0
         return found
+
+
+def service_spec(service: ServiceDocument) -> ServiceSpec:
+    """Return what a cell needs to know of a service."""
+    return ServiceSpec(
+        ServiceName(service["name"]), service["slot_count"], service["admit"] == "any"
+    )
