Count the seals of a takeover for that takeover only

Cause: replies to seals were handed to all takeovers of a router, and the pause between seals was kept per member. With two takeovers of the same source, one could count seals of slots that no member had sealed (a booking could then run twice), and the other was never sent and stayed pending.

--- a/src/sassafraswharf/journal/takeover.py
+++ b/src/sassafraswharf/journal/takeover.py
@@ -110,6 +110,8 @@
         if self.phase is not TakeOverPhase.SEALING:
             return
         for seal, answer in zip(batch.seals, reply.seals, strict=False):
+            if not self._is_own(seal):
+                continue
             if answer.code == ResultCode.STALE_EPOCH:
                 self.phase = TakeOverPhase.LOST
                 return
@@ -169,6 +171,14 @@
             self.service, self.runs, self.epoch, source.session, generation, member
         )
 
+    def _is_own(self, seal: Seal) -> bool:
+        """Return whether a seal is for the slots and the epoch of this takeover.
+
+        Another takeover may name the same source and member for other slots.
+        """
+        own = (self.service, self.runs, self.epoch)
+        return (seal.service, seal.runs, seal.epoch) == own
+
     def _merge(self, records: Iterable[AgedRecord]) -> None:
         for aged in records:
             key = aged.record.key
--- /dev/null
+++ b/src/sassafraswharf/router/journal_answers.py
@@ -0,0 +1,60 @@
+"""What a router answers from the journal instead of running a request."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Final
+
+import msgspec
+
+from sassafraswharf.codes import ResultCode
+from sassafraswharf.failure import Failure
+from sassafraswharf.journal.decision import Decision
+from sassafraswharf.journal.decision import JournalDecision
+from sassafraswharf.requests.outcome import OutcomeKind
+from sassafraswharf.router.answers import Answer
+from sassafraswharf.router.answers import refusal
+from sassafraswharf.router.upstream_runner import RunResult
+
+
+if TYPE_CHECKING:
+    from sassafraswharf.journal.intent import JournalKey
+    from sassafraswharf.journal.journal_quorum import JournalQuorum
+
+
+def from_decision(decision: JournalDecision) -> RunResult:
+    """Return the answer for a request that is not run now."""
+    if decision.decision is Decision.REPLAY:
+        answer = msgspec.msgpack.decode(decision.answer, type=Answer)
+        return RunResult(answer, OutcomeKind.ANSWER)
+    scope = "key" if decision.not_run_key else "attempt"
+    answer = refusal(not_recorded(decision.code), scope)
+    kind = OutcomeKind.NOT_RUN if answer.not_run else OutcomeKind.MAY_HAVE_RUN
+    return RunResult(answer, kind)
+
+
+MESSAGES: Final = {
+    ResultCode.OUTCOME_UNKNOWN: "an earlier attempt with this key may have run",
+    ResultCode.JOURNAL_UNAVAILABLE: "the record of earlier attempts can't be read now",
+    ResultCode.JOURNAL_FULL: "no room to record the request",
+    ResultCode.IDEMPOTENCY_KEY_MISMATCH: "the key belongs to another request",
+    ResultCode.DEADLINE_EXPIRED: "the intent was not recorded before the deadline",
+}
+
+
+def not_recorded(code: ResultCode) -> Failure:
+    """Return the failure for a journal decision."""
+    return Failure(code, MESSAGES.get(code, "the request was not run by this router"))
+
+
+def refuse(code: ResultCode) -> JournalDecision:
+    """Return the decision of a router that can't read the journal."""
+    return JournalDecision(Decision.REFUSED, code)
+
+
+def waited_in_vain(quorum: JournalQuorum, key: JournalKey) -> JournalDecision:
+    """Return the decision at the deadline of a request that had to wait."""
+    slot = quorum.slots.get((key.service, key.slot))
+    ready = slot is not None and slot.ready
+    code = ResultCode.OUTCOME_UNKNOWN if ready else ResultCode.JOURNAL_UNAVAILABLE
+    return JournalDecision(Decision.UNKNOWN, code)
--- a/src/sassafraswharf/router/journal_task.py
+++ b/src/sassafraswharf/router/journal_task.py
@@ -15,7 +15,6 @@
 from result import Ok
 
 from sassafraswharf.codes import ResultCode
-from sassafraswharf.failure import Failure
 from sassafraswharf.journal.decision import Decision
 from sassafraswharf.journal.decision import EventKind
 from sassafraswharf.journal.decision import JournalDecision
@@ -31,21 +30,28 @@
 from sassafraswharf.router.answers import Answer
 from sassafraswharf.router.answers import refusal
 from sassafraswharf.router.change_signal import ChangeSignal
-from sassafraswharf.router.upstream_runner import RunResult
+from sassafraswharf.router.journal_answers import from_decision
+from sassafraswharf.router.journal_answers import not_recorded
+from sassafraswharf.router.journal_answers import refuse
+from sassafraswharf.router.journal_answers import waited_in_vain
 
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
+    from collections.abc import Coroutine
 
     from sassafraswharf.clock import Clock
+    from sassafraswharf.failure import Failure
     from sassafraswharf.identifiers import SessionId
     from sassafraswharf.journal.messages import JournalBatch
+    from sassafraswharf.journal.messages import JournalReply
     from sassafraswharf.journal.takeover import TakeOver
     from sassafraswharf.leases.holder import LeaseHolder
     from sassafraswharf.ownership.values import Ownership
     from sassafraswharf.router.incoming import Incoming
     from sassafraswharf.router.peer_routers import PeerRouters
+    from sassafraswharf.router.upstream_runner import RunResult
     from sassafraswharf.router.view import RouterView
 
     BeforeDispatch = Callable[[], Awaitable[Answer | None]]
@@ -88,6 +94,7 @@
         self.sends: set[asyncio.Task[Any]] = set()
         self.recorded: set[asyncio.Task[RunResult | None]] = set()
         self.paused_until: dict[SessionId, float] = {}
+        self.sealing: set[tuple[int, SessionId]] = set()
         self.task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -148,12 +155,12 @@
         now = self.clock.now()
         quorum.renewed(self.holder.expires_at)
         quorum.expire(now)
-        batches = quorum.take_batches(now)
+        for batch in quorum.take_batches(now):
+            self.send(quorum, batch)
         for takeover in self.takeovers:
             takeover.advance(now)
-            batches += takeover.batches()
-        for batch in batches:
-            self.send(quorum, batch)
+            for batch in takeover.batches():
+                self.send_seals(takeover, batch)
         self.hand_out_events(quorum)
 
     def hand_out_events(self, quorum: JournalQuorum) -> None:
@@ -169,19 +176,52 @@
             self.changed.notify()
 
     def send(self, quorum: JournalQuorum, batch: JournalBatch) -> None:
-        """Send a batch in the background, unless its member did not answer."""
+        """Send records in the background, unless their member did not answer."""
         if self.clock.now() < self.paused_until.get(batch.member, 0.0):
             quorum.on_send_failed(batch)
             return
-        if batch.seals:
-            # Seals are offered again until they are answered.
-            self.paused_until[batch.member] = self.clock.now() + RETRY_PAUSE_S
-        task = asyncio.create_task(self.exchange(quorum, batch))
+
+        async def run() -> None:
+            reply = await self.exchange(batch)
+            if reply is None:
+                quorum.on_send_failed(batch)
+                return
+            quorum.on_reply(batch, reply, self.clock.now())
+            self.pump()
+
+        self.run_aside(run())
+
+    def send_seals(self, takeover: TakeOver, batch: JournalBatch) -> None:
+        """Send the seals of a takeover, one batch per member at a time.
+
+        The reply belongs to this takeover only: another one may name the same
+        source and member for other slots, which the reply does not cover.
+        """
+        target = (id(takeover), batch.member)
+        now = self.clock.now()
+        if target in self.sealing or now < self.paused_until.get(batch.member, 0.0):
+            return
+
+        async def run() -> None:
+            try:
+                reply = await self.exchange(batch)
+            finally:
+                self.sealing.discard(target)
+            if reply is not None:
+                takeover.on_reply(batch, reply, self.clock.now())
+                self.pump()
+
+        self.sealing.add(target)
+        self.run_aside(run())
+
+    def run_aside(self, work: Coroutine[Any, Any, None]) -> None:
+        """Run an exchange in the background."""
+        task = asyncio.create_task(work)
         self.sends.add(task)
         task.add_done_callback(self.sends.discard)
 
-    async def exchange(self, quorum: JournalQuorum, batch: JournalBatch) -> None:
-        """Send a batch to its member and use the reply."""
+    async def exchange(self, batch: JournalBatch) -> JournalReply | None:
+        """Send a batch to its member and return the reply, if there is one."""
         session = self.view.sessions.get(batch.member)
         answer = None
         if session is not None:
@@ -193,20 +233,12 @@
                 encode(batch),
                 SEND_TIMEOUT_S,
             )
-        reply = None
         if answer is not None and answer.status == 200:
             reply = decode_reply(answer.body)
-        if not isinstance(reply, Ok):
-            self.paused_until[batch.member] = self.clock.now() + RETRY_PAUSE_S
-            quorum.on_send_failed(batch)
-            return
-        now = self.clock.now()
-        if batch.seals:
-            for takeover in self.takeovers:
-                takeover.on_reply(batch, reply.ok_value, now)
-        else:
-            quorum.on_reply(batch, reply.ok_value, now)
-        self.pump()
+            if isinstance(reply, Ok):
+                return reply.ok_value
+        self.paused_until[batch.member] = self.clock.now() + RETRY_PAUSE_S
+        return None
 
     def handle(self, body: bytes) -> bytes | Failure:
         """Apply the batch of another router and return the encoded reply."""
@@ -349,41 +381,3 @@
         finally:
             if self.outcomes.get(key) is future:
                 del self.outcomes[key]
-
-
-def from_decision(decision: JournalDecision) -> RunResult:
-    """Return the answer for a request that is not run now."""
-    if decision.decision is Decision.REPLAY:
-        answer = msgspec.msgpack.decode(decision.answer, type=Answer)
-        return RunResult(answer, OutcomeKind.ANSWER)
-    scope = "key" if decision.not_run_key else "attempt"
-    answer = refusal(not_recorded(decision.code), scope)
-    kind = OutcomeKind.NOT_RUN if answer.not_run else OutcomeKind.MAY_HAVE_RUN
-    return RunResult(answer, kind)
-
-
-MESSAGES: Final = {
-    ResultCode.OUTCOME_UNKNOWN: "an earlier attempt with this key may have run",
-    ResultCode.JOURNAL_UNAVAILABLE: "the record of earlier attempts can't be read now",
-    ResultCode.JOURNAL_FULL: "no room to record the request",
-    ResultCode.IDEMPOTENCY_KEY_MISMATCH: "the key belongs to another request",
-    ResultCode.DEADLINE_EXPIRED: "the intent was not recorded before the deadline",
-}
-
-
-def not_recorded(code: ResultCode) -> Failure:
-    """Return the failure for a journal decision."""
-    return Failure(code, MESSAGES.get(code, "the request was not run by this router"))
-
-
-def refuse(code: ResultCode) -> JournalDecision:
-    """Return the decision of a router that can't read the journal."""
-    return JournalDecision(Decision.REFUSED, code)
-
-
-def waited_in_vain(quorum: JournalQuorum, key: JournalKey) -> JournalDecision:
-    """Return the decision at the deadline of a request that had to wait."""
-    slot = quorum.slots.get((key.service, key.slot))
-    ready = slot is not None and slot.ready
-    code = ResultCode.OUTCOME_UNKNOWN if ready else ResultCode.JOURNAL_UNAVAILABLE
-    return JournalDecision(Decision.UNKNOWN, code)
