--- a/src/sassafraswharf/control/admin_views.py
+++ b/src/sassafraswharf/control/admin_views.py
@@ -32,6 +32,11 @@
 HEARD_S: Final = 3.0
 """A control host that was not heard for this long is not shown as live."""
 
+ENDING_ACTIONS: Final = frozenset(
+    {"CloseSession", "CloseSessions", "CloseSlots", "DrainUpstream", "UpstreamLost"}
+)
+"""Commands that take slots from their owners."""
+
 
 def admin_address(control: ControlPart, leader: ReplicaId | None) -> str | None:
     """Return the admin address of the host of a replica."""
@@ -265,14 +270,24 @@
 
 
 def last_change(cell: CellPart, epoch: int) -> Json:
-    """Return when and how the present epoch began, while the trail holds it."""
+    """Return when and how the present epoch began, while the trail holds it.
+
+    The cost is the time from the step that took the slot from its last owner to
+    the one that gave it to the present owner; the wait for the end of a lease
+    comes before the first of them.
+    """
+    ended_at: float | None = None
     for entry in cell.state.trail.entries:
         if entry.revision == epoch:
+            cost_s = None if ended_at is None else max(0.0, entry.at - ended_at)
             return {
                 "owned_since_at": entry.at,
                 "last_change": f"{entry.action} {entry.subject}",
+                "last_change_cost_s": cost_s,
             }
-    return {"owned_since_at": None, "last_change": None}
+        if entry.action in ENDING_ACTIONS:
+            ended_at = entry.at
+    return {"owned_since_at": None, "last_change": None, "last_change_cost_s": None}
 
 
 def audit(control: ControlPart, group: GroupId, limit: int) -> Json:
--- a/src/sassafraswharf/router/local_upstreams.py
+++ b/src/sassafraswharf/router/local_upstreams.py
@@ -84,7 +84,6 @@
         self.granted_at: dict[UpstreamId, tuple[int, float]] = {}
         self.granted_runs: dict[UpstreamId, tuple[tuple[int, int], GrantRuns]] = {}
         self.draining: set[UpstreamId] = set()
-        self.releases: dict[tuple[ServiceName, UpstreamId], int] = {}
         self.proposals: dict[str, asyncio.Task[None]] = {}
         self.grants: dict[UpstreamId, asyncio.Task[None]] = {}
         self.journal_slots: JournalSlots | None = None
