--- a/src/sassafraswharf/router/router_part.py
+++ b/src/sassafraswharf/router/router_part.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import ipaddress
 import random
 
@@ -59,6 +60,7 @@
 
 ANNOUNCEMENT_TIMEOUT_S: Final = 2.0
 DRAIN_TIMEOUT_S: Final = 30.0
+CLEANING_S: Final = 10.0
 JOURNAL_TIMEOUT_S: Final = 2.0
 MAX_JOURNAL_BYTES: Final = 32 * 1_048_576
 LOCAL_PREFIX: Final = "/-/"
@@ -148,6 +150,7 @@
             max_header_bytes=2 * limits["max_header_bytes"],
             header_timeout_s=limits["header_timeout_s"],
         )
+        self.cleaner: asyncio.Task[None] | None = None
         self.latency = LatencyCounts()
         router_metrics.declare(metrics, self, self.latency)
         self.path.on_retry = lambda reason: metrics.add(router_metrics.RETRIES, reason)
@@ -160,6 +163,7 @@
         self.link.start()
         self.journal.start()
         self.upstreams.start()
+        self.cleaner = asyncio.create_task(self.close_unused_connections())
 
     async def stop(self) -> None:
         """Finish all requests in flight, then release the lease.
@@ -174,6 +178,8 @@
         finished = await self.journal.drain(DRAIN_TIMEOUT_S) and finished
         if not finished:
             logging.warning("requests were still in flight after %s s", DRAIN_TIMEOUT_S)
+        if self.cleaner is not None:
+            self.cleaner.cancel()
         await self.link.stop()
         await self.upstreams.stop()
         await self.crashes.stop()
@@ -182,6 +188,13 @@
         await self.internal.stop()
         await self.peers.close()
 
+    async def close_unused_connections(self) -> None:
+        """Close the connections to routers that have left, until cancelled."""
+        while True:
+            await asyncio.sleep(CLEANING_S)
+            sessions = self.view.sessions.values()
+            await self.peers.retain([item.internal_address for item in sessions])
+
     async def on_public(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer a caller, or an upstream that announces itself."""
         if request.path.startswith(LOCAL_PREFIX):
