Give no port of a local deployment out twice

Cause: each host drew its ports without regard to the other hosts, so two hosts of one deployment could have the same port.

--- a/src/sassafraswharf_bench/local_deployment.py
+++ b/src/sassafraswharf_bench/local_deployment.py
@@ -28,6 +28,8 @@
 STOP_TIMEOUT_S = 40.0
 FIRST_PORT = 10_240
 LAST_PORT = 32_000
+TAKEN: set[int] = set()
+"""Ports given out by this process: hosts that are not started yet need them free."""
 READY_POLL_S = 0.05
 OPERATOR_KEY = "operator-key-of-a-local-deployment"
 PORTS = ("public_port", "internal_port", "control_port", "lease_port", "admin_port")
@@ -300,7 +302,8 @@
     ports: dict[str, int] = {}
     while len(ports) < len(PORTS):
         port = random.randrange(FIRST_PORT, LAST_PORT)
-        if port not in ports.values() and is_free(port):
+        if port not in TAKEN and is_free(port):
+            TAKEN.add(port)
             ports[PORTS[len(ports)]] = port
     return ports
 
