--- a/src/sassafraswharf/router/control_link.py
+++ b/src/sassafraswharf/router/control_link.py
@@ -53,7 +53,6 @@
 PULL_TIMEOUT_S: Final = 0.5
 CLOSE_TIMEOUT_S: Final = 1.0
 RETRY_PAUSE_S: Final = 0.05
-CONFIGURATION_GROUP: Final = "configuration"
 
 
 class ControlLink:
