Hand keys over without a gap of a heartbeat; test the new packages

Ruled out: fences and leases (no row had two owners). Now only the rows of the last grant are served, an answer to a heartbeat waits up to 0.7 s for keys that are on their way, a request for a key that changes hands waits for the next table instead of asking the same router again, and placement works from measured request rates and moves up to six runs at a time. A control host that is restarted before the founding remembers that its folder was there at the first start.

--- a/src/sassafraswharf/fleet/control_node.py
+++ b/src/sassafraswharf/fleet/control_node.py
@@ -20,10 +20,13 @@
 from sassafraswharf.codes import ResultCode
 from sassafraswharf.consensus.core import MembershipPolicy
 from sassafraswharf.consensus.core import ReplicaTiming
+from sassafraswharf.consensus.files import replace_file
 from sassafraswharf.consensus.group_task import GroupTask
 from sassafraswharf.consensus.messages import decode_message
 from sassafraswharf.consensus.messages import encode_message
 from sassafraswharf.consensus.voters import host_name
+from sassafraswharf.exceptions import StorageError
+from sassafraswharf.failure import Failure
 from sassafraswharf.fleet.coordinator import Coordinator
 from sassafraswharf.fleet.coordinator import LeaseTiming
 from sassafraswharf.fleet.fleet_state import FleetState
@@ -48,7 +51,6 @@
 if TYPE_CHECKING:
     from sassafraswharf.clock import Clock
     from sassafraswharf.consensus.messages import ConsensusMessage
-    from sassafraswharf.failure import Failure
     from sassafraswharf.observability.decision_log import DecisionLog
     from sassafraswharf.routing.plan_document import PlanChange
     from sassafraswharf.routing.plan_document import PlanDocument
@@ -61,6 +63,7 @@
 GROUP_TIMING: Final = ReplicaTiming(
     heartbeat_s=0.15, election_min_s=0.6, election_max_s=1.0
 )
+FIRST_START_MARKER: Final = "first-start"
 PROPOSAL_TIMEOUT_S: Final = 3.0
 PLANNING_S: Final = 0.1
 PEER_SILENT_S: Final = 1.2
@@ -141,17 +144,19 @@
         """
         seeds = [ReplicaId(ip) for ip, _ in self.node.seeds]
         voters = 2 * self.node.tolerated_hosts + 1
+        folder = Path(self.node.data_folder or "")
+        may_found = remember_first_start(folder, self.node.first_start)
         group = GroupTask(
             GROUP,
             ReplicaId(self.node.address),
             self.state,
-            Path(self.node.data_folder or "") / GROUP,
+            folder / GROUP,
             seeds,
             self.transmit,
             self.clock,
             random.Random(time.time_ns()),
             GROUP_TIMING,
-            MembershipPolicy(self.node.first_start, voters),
+            MembershipPolicy(may_found, voters),
         )
         group.on_role_change = self.on_role_change
         return group
@@ -347,3 +352,23 @@
         )
         self.news.notify()
         self.due.set()
+
+
+def remember_first_start(folder: Path, first_start: bool) -> bool:
+    """Return whether this data folder was there at the first start of the fleet.
+
+    A process that is restarted before the group was founded is no longer told
+    that this is the first start, but its folder still says so. A folder that was
+    lost since then doesn't.
+
+    Raises ``StorageError`` when the folder can't be written.
+    """
+    marker = folder / FIRST_START_MARKER
+    try:
+        if first_start and not marker.exists():
+            folder.mkdir(parents=True, exist_ok=True)
+            replace_file(marker, b"")
+        return marker.exists()
+    except OSError as error:
+        failure = Failure(ResultCode.STORAGE_FAILED, f"{folder}: {error}")
+        raise StorageError(failure) from error
--- a/src/sassafraswharf/fleet/coordinator.py
+++ b/src/sassafraswharf/fleet/coordinator.py
@@ -30,9 +30,11 @@
 FIRST_PLACEMENT_S = 2.5
 """Time for the upstreams of a new service to announce themselves. The first owner
 of a key is free, a later change of owner is not."""
-REBALANCE_S = 1.0
+REBALANCE_S = 0.4
 FORGET_SILENT_S = 4.0
 """An upstream without heartbeats that holds nothing is removed after this time."""
+FIRST_RATE = 10.0
+"""Requests a second that a slot is taken to serve before any were measured."""
 MIN_SPEED = 0.3
 MAX_SPEED = 3.0
 
@@ -210,8 +212,7 @@
         changed |= placement.place_free()
         leaving = {one.instance for one in upstreams if one.draining}
         changed |= placement.evacuate(leaving)
-        moving = any(row.is_moving for row in placement.rows)
-        if not moving and now - self.rebalanced_at.get(service, 0.0) > REBALANCE_S:
+        if now - self.rebalanced_at.get(service, 0.0) > REBALANCE_S:
             owning = {row.owner for row in placement.rows}
             if placement.welcome(owning) or placement.relieve():
                 self.rebalanced_at[service] = now
@@ -275,8 +276,6 @@
             report = reports[one.instance]
             speed = mean_s / report.service_s if report.service_s > 0 else 1.0
             speed = min(MAX_SPEED, max(MIN_SPEED, speed))
-            slots = max(one.slots, 1)
-            candidates.append(
-                Candidate(one.instance, slots * speed, report.busy_slots / slots)
-            )
+            per_slot = speed / mean_s if mean_s > 0 else FIRST_RATE
+            candidates.append(Candidate(one.instance, max(one.slots, 1) * per_slot))
         return candidates
--- a/src/sassafraswharf/fleet/key_placement.py
+++ b/src/sassafraswharf/fleet/key_placement.py
@@ -20,29 +20,23 @@
     _RowTest = Callable[[KeyRow], bool]
 
 
-TOLERATED_EXCESS = 1.3
-"""Load over the fair share from which keys move; smaller differences cost less
-than the move."""
 MIN_BUSY_SHARE = 0.45
 """Share of the slots at work below which nothing waits, so nothing moves."""
-MIN_GAP = 0.2
+MIN_GAP = 0.15
 """Least difference in busy slots between the two upstreams of a move."""
 MIN_MOVE_SHARE = 0.02
+MAX_MOVES = 6
+"""Runs of keys of one service that are on their way at a time."""
 FIRST_SHARE = 0.6
 """Share of its fair load that a new upstream is given, while it is still cold."""
 MAX_ROWS_PER_UPSTREAM = 24
 
 
 class Candidate(NamedTuple):
-    """An upstream that may own keys.
-
-    ``capacity`` is its slots times its relative speed. ``busy_share`` is the
-    mean share of its slots at work.
-    """
+    """An upstream that may own keys, and the requests a second it can serve."""
 
     instance: Instance
     capacity: float
-    busy_share: float
 
 
 class KeyPlacement:
@@ -136,23 +130,38 @@
         return False
 
     def relieve(self) -> bool:
-        """Start to move keys from the busiest candidate to the least loaded."""
-        if len(self.candidates) < 2:
-            return False
-        giver = max(self.candidates, key=lambda one: self.candidates[one].busy_share)
-        taker = min(self.candidates, key=lambda one: self.candidates[one].busy_share)
-        busy = self.candidates[giver].busy_share
-        gap = busy - self.candidates[taker].busy_share
-        if busy < MIN_BUSY_SHARE or gap < MIN_GAP:
-            return False
-        # The busy shares are in proportion to load over capacity, so moving this
-        # part of the load makes the two upstreams equally busy.
-        capacity = self.candidates[taker].capacity
-        both = capacity + self.candidates[giver].capacity
-        part = self.loads[giver] * (gap / busy) * capacity / both
-        if part < MIN_MOVE_SHARE * self.shares[giver]:
-            return False
-        return self._move(giver, taker, part)
+        """Start to move keys from busy candidates to the least busy ones."""
+        moved = False
+        for _ in range(MAX_MOVES - sum(row.is_moving for row in self.rows)):
+            if len(self.candidates) < 2 or not self._relieve_busiest():
+                break
+            moved = True
+        return moved
+
+    def _relieve_busiest(self) -> bool:
+        """Start one move that makes two candidates equally busy."""
+        givers = sorted(self.candidates, key=self._busy_share, reverse=True)
+        taker = givers[-1]
+        for giver in givers[:-1]:
+            gap = self._busy_share(giver) - self._busy_share(taker)
+            if self._busy_share(giver) < MIN_BUSY_SHARE or gap < MIN_GAP:
+                return False
+            capacities = (
+                self.candidates[giver].capacity,
+                self.candidates[taker].capacity,
+            )
+            part = gap / (1 / capacities[0] + 1 / capacities[1])
+            part /= self.weights.rate_of(1.0)
+            if part < MIN_MOVE_SHARE * self.shares[giver]:
+                return False
+            if self._move(giver, taker, part):
+                return True
+        return False
+
+    def _busy_share(self, instance: Instance) -> float:
+        """Return the share of the slots that the load keeps at work."""
+        rate = self.weights.rate_of(self.loads[instance])
+        return rate / self.candidates[instance].capacity
 
     def _move(self, giver: Instance, taker: Instance, weight: float) -> bool:
         """Start to move a run of keys of about this weight."""
--- a/src/sassafraswharf/fleet/key_weights.py
+++ b/src/sassafraswharf/fleet/key_weights.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from bisect import bisect_left
 from bisect import bisect_right
 from itertools import accumulate
@@ -16,7 +18,7 @@
     from sassafraswharf.fleet.sync import KeyLoad
 
 
-HALF_LIFE_S = 2.0
+HALF_LIFE_S = 1.5
 """Hot keys move within minutes, a hot search within seconds."""
 MIN_WEIGHT = 0.02
 BASE_SHARE = 0.15
@@ -61,6 +63,10 @@
         base = max(MIN_BASE_WEIGHT, self.sums[-1] * BASE_SHARE)
         self.per_key = base / KEY_COUNT
 
+    def rate_of(self, weight: float) -> float:
+        """Return the requests a second that keep up a weight."""
+        return weight * math.log(2) / HALF_LIFE_S
+
     def between(self, first: int, last: int) -> float:
         """Return the weight of the keys from ``first`` to ``last``."""
         low = bisect_left(self.keys, first)
--- a/src/sassafraswharf/gateway/ingress.py
+++ b/src/sassafraswharf/gateway/ingress.py
@@ -64,13 +64,14 @@
 class Progress:
     """How far a request has come, for the decision log and the final answer."""
 
-    __slots__ = ("attempts", "code", "last", "tried")
+    __slots__ = ("attempts", "last", "stale_version", "tried")
 
     def __init__(self) -> None:
         """Start before the first attempt."""
         self.attempts = 0
         self.tried: set[Instance] = set()
         self.last: Rejection | None = None
+        self.stale_version = -1
 
     @property
     def may_have_run(self) -> bool:
@@ -278,7 +279,8 @@
         while True:
             row = fleet.row_of(work.service, work.key)
             owner = fleet.upstreams.get(row.owner) if row else None
-            if owner is not None and owner.instance not in progress.tried:
+            is_new = progress.stale_version < fleet.version
+            if owner is not None and owner.instance not in progress.tried and is_new:
                 return owner
             left_s = until - self.clock.now()
             if left_s <= 0 or not await self.view.changed.wait(left_s):
@@ -334,6 +336,7 @@
         if rejection.code is ResultCode.NOT_OWNER:
             # The table may have changed while the request was on its way.
             progress.tried.clear()
+            progress.stale_version = self.view.fleet.version
         if not rejection.reached_upstream:
             return True
         now = self.clock.now()
--- a/src/sassafraswharf/gateway/key_holds.py
+++ b/src/sassafraswharf/gateway/key_holds.py
@@ -9,6 +9,7 @@
 from sassafraswharf.fleet.sync import ReleasedRow
 from sassafraswharf.gateway.heartbeat import Grant
 from sassafraswharf.gateway.heartbeat import GrantedRow
+from sassafraswharf.router.change_signal import ChangeSignal
 
 
 if TYPE_CHECKING:
@@ -43,6 +44,9 @@
         self.complete_at = started_at + lease_s / CLOCK_MARGIN
         self.hold_s = hold_s
         self.granted: dict[HeldRow, float] = {}
+        self.current: tuple[GrantedRow, ...] = ()
+        self.current_until = 0.0
+        self.changed = ChangeSignal()
         self.reported: tuple[HeldRow, ...] = ()
         self.reported_until = 0.0
         self.released: dict[ReleasedRow, float] = {}
@@ -76,6 +80,9 @@
             if not row.is_moving
         )
         until = arrived_at + hold_s / CLOCK_MARGIN
+        self.current = granted
+        self.current_until = arrived_at + hold_s
+        self.changed.notify()
         for row in granted:
             self.granted[HeldRow(row.first, row.last, row.fence)] = until
             self._forget_release(row.first, row.last)
@@ -89,11 +96,14 @@
         return tuple(rows)
 
     def holds_key(self, key: int, now: float) -> bool:
-        """Return whether the upstream has been given a key and still has it."""
-        return any(
-            row.first <= key <= row.last and until > now
-            for row, until in self.granted.items()
-        )
+        """Return whether the upstream was given a key and is to keep it.
+
+        Keys that the last grant has left out are being released, so no request
+        for them may be sent, although the upstream may hold them a little longer.
+        """
+        if now >= self.current_until:
+            return False
+        return any(row.first <= key <= row.last for row in self.current)
 
     def is_complete(self, now: float) -> bool:
         """Return whether holds of an earlier process must have ended."""
--- a/src/sassafraswharf/gateway/local_upstream.py
+++ b/src/sassafraswharf/gateway/local_upstream.py
@@ -27,6 +27,8 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from sassafraswharf.clock import Clock
     from sassafraswharf.fleet.values import Instance
     from sassafraswharf.gateway.heartbeat import Heartbeat
@@ -46,6 +48,8 @@
 MISDIRECTED: Final = 421
 PROMISING_STATUSES: Final = frozenset({408, 421, 429, 503})
 """Statuses that tell a caller that the request has not run."""
+KEY_WAIT_SHARE: Final = 0.35
+"""Share of the time left for which a request waits for a key that is on its way."""
 MAX_KEY_LOADS: Final = 400
 UTILISATION_S: Final = 0.5
 SERVER_ERROR: Final = 500
@@ -75,9 +79,15 @@
         address: tuple[str, int],
         names: HeaderNames,
         holds: KeyHolds,
+        owns: Callable[[str, int, Instance], bool],
         clock: Clock,
     ) -> None:
-        """Prepare to serve the upstream at ``address`` once it was announced."""
+        """Prepare to serve the upstream at ``address`` once it was announced.
+
+        ``owns`` tells whether the fleet assigns a key of a service to a life of
+        the upstream, which then gets it with its next heartbeat.
+        """
+        self.owns = owns
         self.names = names
         self.holds = holds
         self.clock = clock
@@ -132,7 +142,7 @@
         if not self.is_open(now):
             return Err(self.refuse(ResultCode.NO_UPSTREAM, "the upstream is leaving"))
         if work.key is not None:
-            if not self.holds.holds_key(work.key, now):
+            if not await self.wait_for_key(work, instance):
                 return Err(self.refuse(ResultCode.NOT_OWNER, "the key is not held"))
             if len(self.key_loads) < MAX_KEY_LOADS or work.key in self.key_loads:
                 self.key_loads[work.key] = self.key_loads.get(work.key, 0) + 1
@@ -154,6 +164,20 @@
             self.queue.finish(service_s)
             self.start_waiting()
 
+    async def wait_for_key(self, work: Work, instance: Instance) -> bool:
+        """Wait until the upstream holds the key, if it is the one to get it."""
+        key = work.key
+        if key is None:
+            return True
+        now = self.clock.now()
+        until = now + KEY_WAIT_SHARE * (work.terms.deadline_at - now)
+        while not self.holds.holds_key(key, now):
+            if not self.owns(work.service, key, instance) or now >= until:
+                return False
+            await self.holds.changed.wait(until - now)
+            now = self.clock.now()
+        return True
+
     async def wait_for_turn(self, admitted: Admitted, now: float) -> bool:
         """Wait in the queue; return False when the request is refused."""
         self.refuse_all(self.queue.offer(admitted, admitted.work.terms, now))
--- a/src/sassafraswharf/gateway/router_node.py
+++ b/src/sassafraswharf/gateway/router_node.py
@@ -42,6 +42,7 @@
 if TYPE_CHECKING:
     from sassafraswharf.clock import Clock
     from sassafraswharf.fleet.values import Instance
+    from sassafraswharf.fleet.values import KeyRow
     from sassafraswharf.gateway.heartbeat import Grant
     from sassafraswharf.gateway.heartbeat import Heartbeat
     from sassafraswharf.gateway.hop_codec import HopTerms
@@ -57,6 +58,8 @@
 HEARTBEATS_PER_HOLD: Final = 2.6
 """A hold outlasts two heartbeats, one of which may be lost."""
 MIN_HOLD_S: Final = 2.2
+HEARTBEAT_ANSWER_S: Final = 0.7
+"""An upstream takes an answer to a heartbeat for a second."""
 LINGER_S: Final = 2.6
 """Callers learn within two readiness checks, one a second, that a process stops."""
 FINISH_MARGIN_S: Final = 0.4
@@ -93,7 +96,9 @@
         self.hops = HopClient(node.first_peer_port, self.choice, clock)
         self.local: LocalUpstream | None = None
         if upstream_address is not None:
-            self.local = LocalUpstream(upstream_address, names, self.holds, clock)
+            self.local = LocalUpstream(
+                upstream_address, names, self.holds, self.is_owner, clock
+            )
         service = node.upstream["service"] if node.upstream else ""
         self.ingress = Ingress(
             service,
@@ -195,11 +200,18 @@
 
     # The upstream of this host.
 
-    def on_heartbeat(self, beat: Heartbeat) -> Grant | None:
+    def is_owner(self, service: str, key: int, instance: Instance) -> bool:
+        """Return whether the fleet assigns a key to an upstream."""
+        row = self.view.fleet.row_of(service, key)
+        return row is not None and row.owner == instance and not row.is_moving
+
+    async def on_heartbeat(self, beat: Heartbeat) -> Grant | None:
         """Take a heartbeat; return what the upstream is to hold, if it is told.
 
         A late heartbeat of an earlier life or order changes nothing and is told
-        nothing.
+        nothing. While keys are on their way to the upstream the answer waits for
+        them, as long as it still counts, since the upstream would otherwise get
+        them only with its next heartbeat.
         """
         now = self.clock.now()
         local = self.local
@@ -224,10 +236,33 @@
         fleet = self.view.fleet
         if beat.instance not in fleet.upstreams or beat.service not in fleet.rows:
             return None
+        until = now + HEARTBEAT_ANSWER_S
+        while self.is_expecting_keys(beat) and self.clock.now() < until:
+            await self.view.changed.wait(until - self.clock.now())
+        if local.beat is not beat:
+            return None
         return self.holds.grant(
             fleet.rows_of(beat.instance), now, self.link.lease_until
         )
 
+    def is_expecting_keys(self, beat: Heartbeat) -> bool:
+        """Return whether keys are moving to the upstream and none away from it."""
+        if beat.draining:
+            return False
+        rows = self.view.fleet.rows.get(beat.service, ())
+        if any(row.is_moving and row.owner == beat.instance for row in rows):
+            return False
+        if any(row.owner == beat.instance and not self.knows(row) for row in rows):
+            return False
+        return any(row.target == beat.instance for row in rows)
+
+    def knows(self, row: KeyRow) -> bool:
+        """Return whether a row is part of the last grant."""
+        return any(
+            one.first <= row.first and row.last <= one.last and one.fence == row.fence
+            for one in self.holds.current
+        )
+
     def on_leave(self, instance: Instance) -> None:
         """Take the upstream's word that it leaves."""
         if self.local is None:
--- a/src/sassafraswharf/platform/endpoint_api.py
+++ b/src/sassafraswharf/platform/endpoint_api.py
@@ -34,20 +34,22 @@
         path = request.raw_path
         body = await request.read()
         if path.startswith(names.HEARTBEAT_PATH):
-            return self.take_heartbeat(path.removeprefix(names.HEARTBEAT_PATH), body)
+            return await self.take_heartbeat(
+                path.removeprefix(names.HEARTBEAT_PATH), body
+            )
         if path.startswith(names.LEAVE_PATH):
             endpoint_id = path.removeprefix(names.LEAVE_PATH)
             self.router.on_leave(decode_leave(endpoint_id, body))
             return web.Response(body=b"{}", content_type=JSON)
         return web.Response(status=404)
 
-    def take_heartbeat(self, endpoint_id: str, body: bytes) -> web.Response:
+    async def take_heartbeat(self, endpoint_id: str, body: bytes) -> web.Response:
         """Pass a heartbeat on and return the grant."""
         beat = decode_heartbeat(endpoint_id, body)
         if isinstance(beat, Err):
             self.log.record("heartbeat_unreadable", why=beat.err_value)
             return web.Response(status=400, text=beat.err_value)
-        grant = self.router.on_heartbeat(beat.ok_value)
+        grant = await self.router.on_heartbeat(beat.ok_value)
         return web.Response(body=encode_grant(grant), content_type=JSON)
 
     async def handle_readiness(self, request: web.BaseRequest) -> web.Response:
--- /dev/null
+++ b/tests/fleet/test_coordinator.py
@@ -0,0 +1,231 @@
+"""The leader's decisions, driven in virtual time without sockets."""
+
+from __future__ import annotations
+
+import pytest
+
+from sassafraswharf.fleet.coordinator import FIRST_PLACEMENT_S
+from sassafraswharf.fleet.coordinator import Coordinator
+from sassafraswharf.fleet.coordinator import LeaseTiming
+from sassafraswharf.fleet.fleet_table import FleetTable
+from sassafraswharf.fleet.sync import HeldRow
+from sassafraswharf.fleet.sync import KeyLoad
+from sassafraswharf.fleet.sync import ReleasedRow
+from sassafraswharf.fleet.sync import SyncRequest
+from sassafraswharf.fleet.sync import UpstreamReport
+from sassafraswharf.fleet.values import KEY_COUNT
+from sassafraswharf.fleet.values import NOBODY
+from sassafraswharf.fleet.values import Instance
+from sassafraswharf.fleet.values import KeyRow
+
+
+TIMING = LeaseTiming()
+SERVICE = "catalogue"
+
+
+class Fleet:
+    """A coordinator, its table and routers that report to it."""
+
+    def __init__(self, names: str) -> None:
+        self.coordinator = Coordinator(TIMING)
+        self.table = FleetTable()
+        self.now = 100.0
+        self.index = 0
+        self.sequence = 0
+        self.instances = {name: Instance(f"i-{name}", 1) for name in names}
+        self.held: dict[str, tuple[HeldRow, ...]] = {}
+        self.released: dict[str, tuple[ReleasedRow, ...]] = {}
+        self.draining: set[str] = set()
+        self.ended: dict[str, tuple[Instance, ...]] = {}
+        self.silent: set[str] = set()
+        self.loads: tuple[KeyLoad, ...] = ()
+        self.coordinator.start_term(self.now)
+
+    def report(self, name: str, *, boot: int = 1) -> None:
+        self.sequence += 1
+        upstream = UpstreamReport(
+            self.instances[name],
+            SERVICE,
+            10,
+            name in self.draining,
+            0.1,
+            self.held.get(name, ()),
+            self.released.get(name, ()),
+            True,
+            service_s=0.06,
+            key_loads=self.loads,
+        )
+        request = SyncRequest(
+            name,
+            f"10.0.0.{ord(name)}",
+            "dub-a",
+            boot,
+            self.sequence,
+            0,
+            self.table.version,
+            0.0,
+            upstream,
+            self.ended.get(name, ()),
+        )
+        self.coordinator.on_sync(request, self.now)
+
+    def step(self, seconds: float = 0.1) -> None:
+        """Let time pass, report and commit every change that is due."""
+        self.now += seconds
+        for name in self.instances:
+            if name not in self.silent:
+                self.report(name)
+        for _ in range(20):
+            change = self.coordinator.next_change(self.table, [SERVICE], self.now)
+            if change is None:
+                return
+            self.index += 1
+            self.table.apply(self.index, change)
+            for name in self.instances:
+                if name not in self.silent:
+                    self.report(name)
+        raise AssertionError("the coordinator never comes to rest")
+
+    def hold_all(self) -> None:
+        """Let every upstream hold what it was assigned."""
+        for name, instance in self.instances.items():
+            rows = self.table.rows_of(instance)
+            self.held[name] = tuple(
+                HeldRow(row.first, row.last, row.fence) for row in rows
+            )
+
+    def rows(self) -> tuple[KeyRow, ...]:
+        return self.table.rows.get(SERVICE, ())
+
+    def owners(self) -> set[str]:
+        return {row.owner.name for row in self.rows()}
+
+
+def started(names: str = "abc") -> Fleet:
+    fleet = Fleet(names)
+    fleet.step()
+    fleet.step(FIRST_PLACEMENT_S + 0.1)
+    fleet.hold_all()
+    return fleet
+
+
+def test_all_keys_are_placed_once_the_upstreams_are_known() -> None:
+    """Guards against a first placement that gives all keys to the first upstream."""
+    fleet = Fleet("abc")
+    fleet.step()
+    assert not fleet.rows()
+    fleet.step(FIRST_PLACEMENT_S + 0.1)
+    assert fleet.owners() == {"i-a", "i-b", "i-c"}
+    assert fleet.rows()[0].first == 0
+    assert fleet.rows()[-1].last == KEY_COUNT - 1
+
+
+def test_a_held_key_is_not_given_away_before_its_lease_has_ended() -> None:
+    """Guards against two owners while a silent router's upstream still holds keys."""
+    fleet = started()
+    fleet.silent.add("a")
+    silent_since = fleet.now
+    while fleet.now - silent_since < TIMING.lease_s:
+        fleet.step()
+        assert "i-a" in fleet.owners()
+    fleet.step(TIMING.expiry_s - TIMING.lease_s + 0.2)
+    assert fleet.owners() == {"i-b", "i-c"}
+
+
+def test_a_new_leader_waits_for_leases_that_it_does_not_know() -> None:
+    """Guards against a new leader that takes an unheard router for a lost one."""
+    fleet = started()
+    fleet.silent.add("a")
+    fleet.coordinator.start_term(fleet.now)
+    elected_at = fleet.now
+    while fleet.now - elected_at < TIMING.expiry_s:
+        fleet.step()
+        assert "i-a" in fleet.owners()
+    fleet.step(TIMING.election_s + 0.2)
+    assert fleet.owners() == {"i-b", "i-c"}
+
+
+def test_an_upstream_that_has_ended_is_replaced_at_once() -> None:
+    """Guards against keys that wait for a lease although their owner is gone."""
+    fleet = started()
+    fleet.ended["a"] = (fleet.instances["a"],)
+    fleet.instances["a"] = Instance("i-a", 2)
+    fleet.held["a"] = ()
+    fleet.step()
+    assert all(row.owner != Instance("i-a", 1) for row in fleet.rows())
+
+
+@pytest.mark.parametrize("boot", [1, 2])
+def test_a_restarted_router_keeps_the_keys_of_its_upstream(boot: int) -> None:
+    """Guards against keys that change hands because a router was restarted."""
+    fleet = started()
+    before = fleet.rows()
+    fleet.now += 0.5
+    fleet.report("a", boot=boot)
+    fleet.step()
+    assert [row.owner for row in fleet.rows()] == [row.owner for row in before]
+
+
+def test_a_drained_upstream_hands_its_keys_over_with_the_token() -> None:
+    """Guards against a next owner before the release, and against cold keys."""
+    fleet = started()
+    mine = [row for row in fleet.rows() if row.owner.name == "i-a"]
+    fences = {row.fence for row in fleet.rows()}
+    fleet.draining.add("a")
+    fleet.step()
+    moving = [row for row in fleet.rows() if row.is_moving]
+    assert {row.owner.name for row in moving} == {"i-a"}
+    fleet.step(1.0)
+    assert all(row.owner.name == "i-a" for row in fleet.rows() if row.is_moving)
+    fleet.held["a"] = ()
+    fleet.released["a"] = tuple(
+        ReleasedRow(row.first, row.last, "token") for row in mine
+    )
+    fleet.step()
+    assert fleet.owners() == {"i-b", "i-c"}
+    moved = [row for row in fleet.rows() if row.handover]
+    assert {row.handover for row in moved} == {"token"}
+    assert all(row.fence > max(fences) for row in moved)
+
+
+def test_a_new_upstream_gets_keys() -> None:
+    """Guards against upstreams that join and serve nobody."""
+    fleet = started()
+    fleet.instances["d"] = Instance("i-d", 1)
+    fleet.step()
+    fleet.step(1.0)
+    assert any(row.target.name == "i-d" for row in fleet.rows())
+
+
+def test_a_hot_range_is_spread_over_the_upstreams() -> None:
+    """Guards against one busy owner beside idle ones: the hot set moves."""
+    fleet = started()
+    hot = fleet.rows()[0].owner
+    fleet.loads = tuple(KeyLoad(key, 1) for key in range(100, 160))
+    for _ in range(10):
+        fleet.step()
+    targets = {row.target.name for row in fleet.rows() if row.is_moving}
+    assert targets
+    assert targets <= {"i-a", "i-b", "i-c"} - {hot.name}
+
+
+def test_rows_never_overlap_and_never_leave_a_gap() -> None:
+    """Guards against keys with two owners or none after many changes."""
+    fleet = started()
+    fleet.loads = tuple(KeyLoad(key, 1) for key in range(30_000, 30_090, 3))
+    for turn in range(40):
+        fleet.step(0.3)
+        for name, instance in fleet.instances.items():
+            keep = [row for row in fleet.table.rows_of(instance) if not row.is_moving]
+            fleet.held[name] = tuple(
+                HeldRow(row.first, row.last, row.fence) for row in keep
+            )
+        if turn == 20:
+            fleet.draining.add("b")
+        first = 0
+        for row in fleet.rows():
+            assert row.first == first
+            assert row.first <= row.last
+            assert row.owner != NOBODY
+            first = row.last + 1
+        assert first == KEY_COUNT
--- /dev/null
+++ b/tests/fleet/test_fleet_state.py
@@ -0,0 +1,170 @@
+"""Changes of the configuration: races, resends, invalid ones and snapshots."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from sassafraswharf.codes import ResultCode
+from sassafraswharf.fleet.fleet_state import FleetState
+from sassafraswharf.fleet.fleet_state import PlanCommand
+from sassafraswharf.fleet.fleet_state import decode_plan_reply
+from sassafraswharf.fleet.fleet_state import encode_plan_command
+from sassafraswharf.platform.documents import DocumentReader
+from sassafraswharf.platform.documents import decode_patch
+from sassafraswharf.platform.documents import decode_replacement
+from sassafraswharf.platform.documents import encode_document
+
+
+SERVICE = {"name": "diary", "healthPath": "/healthz", "sharded": True, "extra": 1}
+
+
+def route(name: str = "r", **fields: object) -> dict[str, object]:
+    return {
+        "name": name,
+        "host": "a.example",
+        "pathPrefix": f"/{name}/",
+        "routeType": "idempotent",
+        "timeout": "800ms",
+        "service": "diary",
+        **fields,
+    }
+
+
+def whole(version: int, base: int, *routes: dict[str, object]) -> bytes:
+    return msgspec.json.encode(
+        {
+            "version": f"{version:08x}",
+            "baseVersion": f"{base:08x}",
+            "routes": routes or [route()],
+            "services": [SERVICE],
+        }
+    )
+
+
+def patch(
+    version: int, base: int, *routes: dict[str, object], **remove: object
+) -> bytes:
+    return msgspec.json.encode(
+        {
+            "version": f"{version:08x}",
+            "baseVersion": f"{base:08x}",
+            "upsert": {"routes": routes},
+            "remove": remove,
+        }
+    )
+
+
+class Operator:
+    """Sends bodies to a state machine, one log entry each."""
+
+    def __init__(self) -> None:
+        self.state = FleetState(DocumentReader())
+        self.index = 0
+
+    def send(self, body: bytes, *, items: bool = False) -> int:
+        decoded = (decode_patch if items else decode_replacement)(body)
+        change = decoded.unwrap()
+        self.index += 1
+        reply = self.state.apply(
+            self.index, encode_plan_command(PlanCommand(change, "test", 0.0))
+        )
+        return decode_plan_reply(reply).code
+
+    def content(self) -> dict[str, object]:
+        return msgspec.json.decode(encode_document(self.state.plan))
+
+
+def test_what_was_sent_is_read_back_with_fields_that_the_product_ignores() -> None:
+    """Guards against a configuration that loses what only operators understand."""
+    operator = Operator()
+    assert operator.send(whole(12, 0)) == ResultCode.OK
+    assert operator.content() == {
+        "version": "0000000c",
+        "routes": [route()],
+        "services": [SERVICE],
+    }
+
+
+@pytest.mark.parametrize("items", [True, False])
+def test_one_of_two_changes_on_the_same_version_wins(items: bool) -> None:
+    """Guards against two operators who are both told that they won."""
+    operator = Operator()
+    operator.send(whole(1, 0))
+    make = patch if items else whole
+    assert operator.send(make(3, 1, route("x")), items=items) == ResultCode.OK
+    lost = operator.send(make(3, 1, route("y")), items=items)
+    assert lost == ResultCode.CONFIGURATION_CONFLICT
+    assert "y" not in operator.state.plan.routes
+
+
+def test_a_resent_change_is_accepted_again_also_after_others() -> None:
+    """Guards against an acknowledged change that is refused when it is resent."""
+    operator = Operator()
+    operator.send(whole(1, 0))
+    body = patch(4, 1, route("x"))
+    assert operator.send(body, items=True) == ResultCode.OK
+    operator.send(patch(9, 4, route("z")), items=True)
+    assert operator.send(body, items=True) == ResultCode.OK
+    assert operator.state.plan.version == 9
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"service": "nobody"},
+        {"timeout": "0ms"},
+        {"timeout": "601s"},
+        {"timeout": "soon"},
+        {"pathPrefix": "bare/"},
+        {"routeType": "sometimes"},
+        {"trafficSplit": [{"service": "diary", "weight": 0}]},
+        {"trafficSplit": []},
+    ],
+)
+def test_an_invalid_route_is_refused_and_changes_nothing(
+    fields: dict[str, object],
+) -> None:
+    """Guards against an invalid configuration that is acknowledged."""
+    operator = Operator()
+    operator.send(whole(1, 0))
+    sent = operator.send(patch(2, 1, route("x", **fields)), items=True)
+    assert sent == ResultCode.CONFIGURATION_INVALID
+    assert operator.state.plan.version == 1
+
+
+def test_a_version_must_grow() -> None:
+    """Guards against a configuration that reverts to an older number."""
+    operator = Operator()
+    operator.send(whole(7, 0))
+    assert operator.send(whole(7, 7, route("x"))) == ResultCode.CONFIGURATION_INVALID
+    assert operator.send(whole(3, 7, route("x"))) == ResultCode.CONFIGURATION_INVALID
+
+
+@pytest.mark.parametrize("cut", [1, 20, 100])
+def test_a_body_that_is_cut_short_is_unreadable(cut: int) -> None:
+    """Guards against a part of a configuration taken for the whole."""
+    assert decode_replacement(whole(1, 0)[:-cut]).is_err()
+
+
+def test_a_snapshot_keeps_version_content_and_memory_of_resends() -> None:
+    """Guards against a restarted control host that forgets what it accepted."""
+    operator = Operator()
+    operator.send(whole(1, 0))
+    body = patch(4, 1, route("x"), routes=["r"])
+    operator.send(body, items=True)
+    restored = Operator()
+    restored.state.restore(operator.state.snapshot())
+    assert restored.content() == operator.content()
+    assert restored.send(body, items=True) == ResultCode.OK
+
+
+def test_a_router_that_is_behind_gets_the_changes_it_lacks() -> None:
+    """Guards against whole configurations sent for each change of one route."""
+    operator = Operator()
+    operator.send(whole(1, 0))
+    operator.send(patch(4, 1, route("x")), items=True)
+    operator.send(patch(6, 4, route("y")), items=True)
+    assert [one.version for one in operator.state.plan_since(1)] == [4, 6]
+    assert [one.version for one in operator.state.plan_since(6)] == []
+    assert [one.is_whole for one in operator.state.plan_since(3)] == [True]
--- /dev/null
+++ b/tests/gateway/test_admission_queue.py
@@ -0,0 +1,76 @@
+"""Who waits, who is refused: many callers at once and slow upstreams."""
+
+from __future__ import annotations
+
+import pytest
+
+from sassafraswharf.gateway.admission_queue import AdmissionQueue
+from sassafraswharf.gateway.work import Terms
+
+
+def terms(priority: int = 1, goal_at: float = 0.25, late: bool = False) -> Terms:
+    return Terms(priority, late, goal_at, 1.0)
+
+
+def busy_queue(limit: int = 2) -> AdmissionQueue[str]:
+    queue: AdmissionQueue[str] = AdmissionQueue(limit)
+    queue.service_s = 0.05
+    for number in range(limit):
+        queue.offer(f"running-{number}", terms(), 0.0)
+        assert queue.start_next()
+    return queue
+
+
+def test_a_burst_is_cut_to_what_meets_the_goal() -> None:
+    """Guards against a burst that makes every caller late (`burst`)."""
+    queue = busy_queue()
+    refused = [one for n in range(40) for one in queue.offer(f"r{n}", terms(), 0.0)]
+    assert 0 < len(queue.waiting) <= 10
+    assert len(refused) + len(queue.waiting) == 40
+    assert refused[0] == f"r{len(queue.waiting)}"
+
+
+def test_the_urgent_displace_the_less_urgent() -> None:
+    """Guards against an urgent request that is refused behind a less urgent one."""
+    queue = busy_queue()
+    for number in range(20):
+        queue.offer(f"low{number}", terms(3), 0.0)
+    displaced = [one for n in range(8) for one in queue.offer(f"u{n}", terms(0), 0.0)]
+    assert all(one.startswith("low") for one in displaced)
+    assert queue.waiting[0].item == "u0"
+
+
+@pytest.mark.parametrize(("late", "kept"), [(True, True), (False, False)])
+def test_after_the_goal_only_the_deadline_counts(late: bool, kept: bool) -> None:
+    """Guards against callers who came back being refused for a goal long past."""
+    queue = busy_queue()
+    queue.service_s = 0.2
+    refused = queue.offer("r", terms(goal_at=0.1, late=late), 0.0)
+    assert (not refused) is kept
+
+
+def test_a_waiting_request_is_refused_when_the_upstream_turns_slow() -> None:
+    """Guards against requests held to their deadline (`srv_slow`)."""
+    queue = busy_queue()
+    queue.offer("r", terms(), 0.0)
+    queue.service_s = 1.0
+    assert queue.prune(0.05) == ["r"]
+
+
+def test_an_idle_upstream_refuses_nobody() -> None:
+    """Guards against refusals beside free slots."""
+    queue: AdmissionQueue[str] = AdmissionQueue(2)
+    queue.service_s = 5.0
+    assert queue.offer("r", terms(), 0.0) == []
+    assert queue.start_next() == "r"
+
+
+def test_a_caller_that_leaves_frees_its_place() -> None:
+    """Guards against a queue of callers who have left (`give_up`)."""
+    queue = busy_queue()
+    queue.offer("r", terms(), 0.0)
+    assert queue.withdraw("r")
+    assert not queue.withdraw("r")
+    queue.finish(0.05)
+    assert queue.start_next() is None
+    assert queue.running == 1
--- /dev/null
+++ b/tests/gateway/test_http_connection.py
@@ -0,0 +1,213 @@
+"""Whole answers: what upstreams send too early, too late, twice or by half."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+import pytest
+
+from aiohttp import ClientPayloadError
+
+from sassafraswharf.exceptions import ExchangeError
+from sassafraswharf.gateway.http_connection import HttpConnection
+
+
+HEAD = b"GET / HTTP/1.1\r\nHost: a\r\nX-Id: 1\r\n\r\n"
+Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
+def answer(identity: str, body: bytes, length: int | None = None) -> bytes:
+    size = len(body) if length is None else length
+    return (
+        b"HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: %d\r\n\r\n"
+        % (identity.encode(), size)
+    ) + body
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Close a connection with a reset instead of an orderly end."""
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+async def serve(script: Script) -> tuple[asyncio.Server, HttpConnection]:
+    async def handle(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            await script(reader, writer)
+        finally:
+            writer.close()
+
+    server = await asyncio.start_server(handle, "127.0.0.1", 0)
+    address = server.sockets[0].getsockname()[:2]
+    return server, await HttpConnection.connect(address, 2.0, "X-Id")
+
+
+async def exchange(connection: HttpConnection, identity: str) -> bytes:
+    connection.begin(HEAD, b"", identity)
+    async with asyncio.timeout(5):
+        response = await connection.receive()
+        body = await response.content.read()
+    connection.finish()
+    return body
+
+
+def run(script: Script, check: Callable[[HttpConnection], Awaitable[None]]) -> None:
+    async def main() -> None:
+        server, connection = await serve(script)
+        try:
+            await check(connection)
+        finally:
+            connection.abort()
+            server.close()
+            await server.wait_closed()
+
+    asyncio.run(main())
+
+
+def test_a_late_second_answer_is_skipped() -> None:
+    """Guards against the answer of an earlier request (`garble`, extra late)."""
+
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(answer("1", b"first"))
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(answer("1", b"again") + answer("2", b"second"))
+        await reader.read()
+
+    async def check(connection: HttpConnection) -> None:
+        assert await exchange(connection, "1") == b"first"
+        assert connection.is_reusable
+        assert await exchange(connection, "2") == b"second"
+        assert not connection.is_reusable
+
+    run(script, check)
+
+
+def test_bytes_on_an_idle_connection_condemn_it() -> None:
+    """Guards against bytes that belong to no request (`garble`, extra)."""
+
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(answer("1", b"first"))
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        writer.write(answer("1", b"again"))
+        await reader.read()
+
+    async def check(connection: HttpConnection) -> None:
+        assert await exchange(connection, "1") == b"first"
+        await asyncio.sleep(0.5)
+        assert not connection.is_reusable
+
+    run(script, check)
+
+
+@pytest.mark.parametrize("end", ["close", "reset"])
+@pytest.mark.parametrize("framing", ["length", "chunked"])
+def test_a_cut_answer_is_not_taken_for_whole(end: str, framing: str) -> None:
+    """Guards against a part of an answer that looks complete."""
+
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        if framing == "length":
+            writer.write(answer("1", b"half", 99))
+        else:
+            writer.write(
+                b"HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                b"4\r\nhalf\r\n"
+            )
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        if end == "reset":
+            reset(writer)
+
+    async def check(connection: HttpConnection) -> None:
+        with pytest.raises((ClientPayloadError, ExchangeError)):
+            await exchange(connection, "1")
+        assert not connection.is_reusable
+
+    run(script, check)
+
+
+@pytest.mark.parametrize(("end", "whole"), [("close", True), ("reset", False)])
+def test_an_answer_without_length_ends_with_a_close_only(end: str, whole: bool) -> None:
+    """Guards against a reset that is taken for the end of an answer."""
+
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nbody")
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        if end == "reset":
+            reset(writer)
+
+    async def check(connection: HttpConnection) -> None:
+        if whole:
+            assert await exchange(connection, "1") == b"body"
+            return
+        with pytest.raises((ClientPayloadError, ExchangeError)):
+            await exchange(connection, "1")
+
+    run(script, check)
+
+
+@pytest.mark.parametrize(
+    ("data", "sent"), [(b"not http at all\r\n\r\n", True), (b"", True)]
+)
+def test_bytes_that_are_no_answer_are_an_error(data: bytes, sent: bool) -> None:
+    """Guards against a request that is reported as not sent."""
+
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(data)
+
+    async def check(connection: HttpConnection) -> None:
+        with pytest.raises(ExchangeError) as caught:
+            await exchange(connection, "1")
+        assert caught.value.sent is sent
+
+    run(script, check)
+
+
+def test_an_answer_before_the_end_of_a_long_body_condemns_the_connection() -> None:
+    """Guards against a next request that is read as the rest of a body."""
+
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(answer("1", b"early"))
+        await reader.read()
+
+    async def body() -> object:
+        for _ in range(1000):
+            yield b"x" * 100
+            await asyncio.sleep(0.01)
+
+    async def check(connection: HttpConnection) -> None:
+        connection.begin(HEAD, b"", "1")
+        async with asyncio.timeout(5):
+            response = await connection.receive_while_sending(body())
+            assert await response.content.read() == b"early"
+        connection.finish()
+        assert not connection.is_reusable
+
+    run(script, check)
--- /dev/null
+++ b/tests/platform/test_heartbeats.py
@@ -0,0 +1,95 @@
+"""Heartbeats of any writer, and the words that stay inside the adapter."""
+
+from __future__ import annotations
+
+import re
+
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from sassafraswharf.fleet.sync import HeldRow
+from sassafraswharf.fleet.sync import ReleasedRow
+from sassafraswharf.fleet.values import Instance
+from sassafraswharf.gateway.heartbeat import Grant
+from sassafraswharf.gateway.heartbeat import GrantedRow
+from sassafraswharf.platform.heartbeats import decode_heartbeat
+from sassafraswharf.platform.heartbeats import encode_grant
+
+
+BEAT = {
+    "service": "huvo11a",
+    "address": "10.128.0.9:8080",
+    "zone": "dub-a",
+    "version": "v1",
+    "slots": 10,
+    "state": "draining",
+    "coldRemaining": "1500ms",
+    "sequence": 4,
+    "born": 1_790_000_000_123,
+    "holds": [[0, 4095, 7]],
+    "released": [[4096, 8191, "5c0e7a21d94b36f8"]],
+}
+SOURCES = Path(__file__).parents[2] / "src" / "sassafraswharf"
+PROVIDER_WORDS = re.compile(
+    r"Endpoints\.|Config\.(Replace|Patch|Get)|SASSAFRASWHARF_BOOT|Caller-Service"
+    r"|Expect-Instance|Not-Executed|pathPrefix|routeType|coldRemaining|trafficSplit"
+    r"|Response-Signature|Shard-Key|readyz|hold_time|appAddr"
+)
+
+
+def test_a_heartbeat_is_decoded_into_the_projects_words() -> None:
+    """Guards against fields that are read under a wrong name."""
+    beat = decode_heartbeat("i-1", msgspec.json.encode(BEAT)).unwrap()
+    assert beat.instance == Instance("i-1", 1_790_000_000_123)
+    assert beat.address == ("10.128.0.9", 8080)
+    assert beat.draining
+    assert beat.cold_s == 1.5
+    assert beat.held == (HeldRow(0, 4095, 7),)
+    assert beat.released == (ReleasedRow(4096, 8191, "5c0e7a21d94b36f8"),)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "confused"},
+        {"slots": "ten"},
+        {"slots": 0},
+        {"address": "nowhere"},
+        {"address": 7},
+        {"coldRemaining": "later"},
+        {"sequence": None},
+        {"holds": [[0, "x", 7]]},
+        {"born": 1.5},
+    ],
+)
+def test_a_heartbeat_of_another_writer_names_nothing(change: dict[str, object]) -> None:
+    """Guards against an upstream that exists only in a malformed message."""
+    assert decode_heartbeat("i-1", msgspec.json.encode({**BEAT, **change})).is_err()
+
+
+@pytest.mark.parametrize("body", [b"", b"{", b"\xff\xfe", b"[]", b"null"])
+def test_bytes_that_are_no_heartbeat_are_refused(body: bytes) -> None:
+    """Guards against an exception on bytes that can't be read."""
+    assert decode_heartbeat("i-1", body).is_err()
+
+
+def test_a_grant_is_encoded_as_rows_with_a_time() -> None:
+    """Guards against a hold time that is rounded up."""
+    grant = Grant((GrantedRow(0, 9, 3, ""), GrantedRow(10, 19, 4, "t")), 1.2349)
+    assert msgspec.json.decode(encode_grant(grant)) == {
+        "holds": [[0, 9, 3, ""], [10, 19, 4, "t"]],
+        "hold_time": "1234ms",
+    }
+    assert encode_grant(None) == b"{}"
+
+
+def test_the_providers_words_stay_in_the_adapter() -> None:
+    """Guards against names of the provider in the rest of the product."""
+    found = [
+        path.name
+        for path in SOURCES.rglob("*.py")
+        if "platform" not in path.parts and PROVIDER_WORDS.search(path.read_text())
+    ]
+    assert not found
