Serve a leaving upstream until its keys have moved, ignore strangers

Now requests are taken until 0.7 s before the agreed end of the drain, also those that waited are refused after it, a leave counts for the life that it names, and heartbeats of other addresses or unknown services are ignored.

--- a/src/sassafraswharf/gateway/local_upstream.py
+++ b/src/sassafraswharf/gateway/local_upstream.py
@@ -41,7 +41,7 @@
 
 Outcome = Result[Answer, Rejection]
 
-DRAIN_MARGIN_S: Final = 0.5
+DRAIN_MARGIN_S: Final = 0.7
 """Requests stop this much before a draining upstream may refuse them."""
 DOWN_S: Final = 0.3
 """After a refused connection, requests are sent elsewhere for this long."""
@@ -81,13 +81,17 @@
         holds: KeyHolds,
         owns: Callable[[str, int, Instance], bool],
         clock: Clock,
+        drain_s: float,
     ) -> None:
         """Prepare to serve the upstream at ``address`` once it was announced.
 
-        ``owns`` tells whether the fleet assigns a key of a service to a life of
-        the upstream, which then gets it with its next heartbeat.
+        ``drain_s`` is how long a leaving upstream takes requests. ``owns`` tells
+        whether the fleet assigns a key of a service to a life of the upstream,
+        which then gets it with its next heartbeat.
         """
         self.owns = owns
+        self.drain_s = drain_s
+        self.left: Instance | None = None
         self.names = names
         self.holds = holds
         self.clock = clock
@@ -110,26 +114,45 @@
         known = self.beat
         if known is not None and known.instance != beat.instance:
             self.ended.add(known.instance)
+        if beat.instance == self.left:
+            # It goes on to announce itself as it was until it exits.
+            beat = beat._replace(draining=True)
         self.beat = beat
         self.beat_at = now
-        if beat.draining and not self.draining_at:
-            self.draining_at = now
         if not beat.draining:
             self.draining_at = 0.0
+        elif not self.draining_at:
+            self.draining_at = now
         if self.queue.limit != max(beat.slots, 1):
             self.queue.limit = max(beat.slots, 1)
             self.start_waiting()
 
     def on_leave(self, instance: Instance, now: float) -> None:
-        """Stop new work for an upstream that is leaving."""
+        """Stop new work for an upstream that is leaving.
+
+        A life that is not told (0) is the present one. The message of an earlier
+        life may arrive after its successor has started under the same name.
+        """
         beat = self.beat
-        if beat is not None and beat.instance.name == instance.name:
-            self.beat = beat._replace(draining=True)
-            self.draining_at = self.draining_at or now
+        if beat is None or beat.instance.name != instance.name:
+            return
+        if instance.born not in {0, beat.instance.born}:
+            return
+        self.left = beat.instance
+        self.beat = beat._replace(draining=True)
+        self.draining_at = self.draining_at or now
 
     def is_open(self, now: float) -> bool:
-        """Return whether new requests may be sent to the upstream."""
-        return self.beat is not None and not self.draining_at and self.down_until <= now
+        """Return whether new requests may be sent to the upstream.
+
+        One that is leaving still takes requests for a while, until the other
+        routers know it and its keys have moved.
+        """
+        if self.beat is None or self.down_until > now:
+            return False
+        if not self.draining_at:
+            return True
+        return now - self.draining_at < self.drain_s - DRAIN_MARGIN_S
 
     # Requests.
 
@@ -155,6 +178,9 @@
         started_at = self.clock.now()
         service_s: float | None = None
         try:
+            if not self.is_open(started_at):
+                code = ResultCode.NO_UPSTREAM
+                return Err(self.refuse(code, "the upstream has left"))
             outcome = await self.dispatch(work, instance)
             if isinstance(outcome, Ok) and outcome.ok_value.status < SERVER_ERROR:
                 service_s = self.clock.now() - started_at
--- a/src/sassafraswharf/gateway/router_node.py
+++ b/src/sassafraswharf/gateway/router_node.py
@@ -97,7 +97,12 @@
         self.local: LocalUpstream | None = None
         if upstream_address is not None:
             self.local = LocalUpstream(
-                upstream_address, names, self.holds, self.is_owner, clock
+                upstream_address,
+                names,
+                self.holds,
+                self.is_owner,
+                clock,
+                node.terms.drain_s,
             )
         service = node.upstream["service"] if node.upstream else ""
         self.ingress = Ingress(
@@ -215,7 +220,10 @@
         """
         now = self.clock.now()
         local = self.local
-        if local is None or not is_newer(beat, local.beat):
+        if local is None or not self.is_of_this_host(beat, local):
+            self.log.record("heartbeat_of_a_stranger", upstream=beat.instance.name)
+            return None
+        if not is_newer(beat, local.beat):
             self.log.record("heartbeat_ignored", upstream=beat.instance.name)
             return None
         if beat.instance in local.ended:
@@ -239,12 +247,22 @@
         until = now + HEARTBEAT_ANSWER_S
         while self.is_expecting_keys(beat) and self.clock.now() < until:
             await self.view.changed.wait(until - self.clock.now())
-        if local.beat is not beat:
+        if local.beat is None or local.beat.sequence != beat.sequence:
             return None
         return self.holds.grant(
             fleet.rows_of(beat.instance), now, self.link.lease_until
         )
 
+    def is_of_this_host(self, beat: Heartbeat, local: LocalUpstream) -> bool:
+        """Return whether a heartbeat can be one of the upstream of this host."""
+        if beat.address != local.pool.address:
+            return False
+        routes = self.view.routes
+        expected = self.node.upstream["service"] if self.node.upstream else ""
+        return beat.service == expected or (
+            routes is not None and beat.service in routes.services
+        )
+
     def is_expecting_keys(self, beat: Heartbeat) -> bool:
         """Return whether keys are moving to the upstream and none away from it."""
         if beat.draining:
