Add a stand-in of the provider and play the whole path on loopback

Endpoints that announce themselves and hold keys, an operator, callers and the processes of the deploy file on addresses below 127.0.0.0/8. Six tests: a request passes unchanged, keys are served again after a kill of a control host or a router, an ended endpoint is replaced without two holders, a booking runs at most once while routers stop, and an acknowledged configuration survives the kill of all control hosts.

--- /dev/null
+++ b/src/sassafraswharf_bench/provider/endpoint.py
@@ -0,0 +1,211 @@
+"""An endpoint that announces itself and runs requests for the keys it holds."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import secrets
+import time
+
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import NamedTuple
+
+import aiohttp
+import msgspec
+
+from aiohttp import web
+
+from sassafraswharf.settings.durations import parse_duration
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+
+NOT_RUN = {"Not-Executed": "1"}
+ANSWER_TIMEOUT_S = 1.0
+RELEASE_PAUSE_S = 0.1
+
+
+class Run(NamedTuple):
+    """A request that an endpoint began to run."""
+
+    request_id: str
+    instance: str
+    method: str
+    target: str
+    origin: str
+    body: bytes
+
+
+class Hold(NamedTuple):
+    """Keys that the endpoint holds until an instant of its steady clock."""
+
+    first: int
+    last: int
+    fence: int
+    until: float
+
+
+class Endpoint:
+    """Speaks what the provider's pages say of endpoints, without their faults."""
+
+    def __init__(
+        self,
+        service: str,
+        address: tuple[str, int],
+        control: tuple[str, int],
+        *,
+        keyed: bool = False,
+        slots: int = 10,
+        work_s: float = 0.02,
+        heartbeat_s: float = 0.3,
+    ) -> None:
+        """Prepare a new life; ``start`` begins it."""
+        self.service = service
+        self.address = address
+        self.control = control
+        self.keyed = keyed
+        self.slots = slots
+        self.work_s = work_s
+        self.heartbeat_s = heartbeat_s
+        self.instance = f"i-{secrets.token_hex(5)}"
+        self.born = time.time_ns() // 1_000_000
+        self.state = "ready"
+        self.sequence = 0
+        self.holds: list[Hold] = []
+        self.releasing: list[Hold] = []
+        self.released: list[tuple[int, int, str]] = []
+        self.running: list[int] = []
+        self.runs: list[Run] = []
+        self.grants: list[tuple[float, tuple[Hold, ...]]] = []
+        self.runner: web.ServerRunner | None = None
+        self.task: asyncio.Task[None] | None = None
+        self.session: aiohttp.ClientSession | None = None
+
+    async def start(self) -> None:
+        """Listen and announce."""
+        self.runner = web.ServerRunner(web.Server(self.handle))
+        await self.runner.setup()
+        await web.TCPSite(self.runner, *self.address).start()
+        self.session = aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=ANSWER_TIMEOUT_S)
+        )
+        self.task = asyncio.create_task(self.announce())
+
+    async def stop(self) -> None:
+        """End at once, without a word."""
+        if self.task is not None:
+            self.task.cancel()
+            await asyncio.wait([self.task])
+        if self.session is not None:
+            await self.session.close()
+        if self.runner is not None:
+            await self.runner.cleanup()
+
+    def held(self, now: float) -> list[Hold]:
+        """Return the holds that have not run out."""
+        return [hold for hold in self.holds if hold.until > now]
+
+    async def announce(self) -> None:
+        """Send heartbeats, sooner while something is to be released."""
+        while True:
+            with contextlib.suppress(aiohttp.ClientError, TimeoutError, OSError):
+                await self.heartbeat()
+            pause_s = RELEASE_PAUSE_S if self.releasing else self.heartbeat_s
+            await asyncio.sleep(pause_s)
+
+    async def heartbeat(self) -> None:
+        """Send one heartbeat and take what its answer grants."""
+        self.finish_releases()
+        now = time.monotonic()
+        self.sequence += 1
+        held = {(one.first, one.last, one.fence) for one in self.held(now)}
+        held.update((one.first, one.last, one.fence) for one in self.releasing)
+        reported = list(self.released)
+        body = {
+            "service": self.service,
+            "address": f"{self.address[0]}:{self.address[1]}",
+            "zone": "local",
+            "version": "v1",
+            "slots": self.slots,
+            "state": self.state,
+            "coldRemaining": "0ms",
+            "sequence": self.sequence,
+            "born": self.born,
+            "holds": sorted(held),
+            "released": reported,
+        }
+        url = self.url("Endpoints.Heartbeat")
+        assert self.session is not None
+        async with self.session.post(url, data=msgspec.json.encode(body)) as response:
+            answer = msgspec.json.decode(await response.read())
+        self.released = [one for one in self.released if one not in reported]
+        if "holds" in answer:
+            self.take(answer["holds"], answer["hold_time"], now)
+
+    def take(self, rows: Iterable[list[Any]], text: str, sent_at: float) -> None:
+        """Hold exactly the granted rows, counted from when the beat was sent."""
+        until = sent_at + parse_duration(text).unwrap()
+        granted = [Hold(row[0], row[1], row[2], until) for row in rows]
+        kept = {one[:3] for one in granted}
+        for old in self.held(time.monotonic()):
+            if old[:3] not in kept:
+                self.releasing.append(old)
+        self.holds = granted
+        self.grants.append((sent_at, tuple(granted)))
+
+    def finish_releases(self) -> None:
+        """Give up keys without work in progress, each with a handover token."""
+        working = []
+        for hold in self.releasing:
+            if any(hold.first <= key <= hold.last for key in self.running):
+                working.append(hold)
+            else:
+                token = secrets.token_hex(8)
+                self.released.append((hold.first, hold.last, token))
+        self.releasing = working
+
+    async def leave(self) -> None:
+        """Say that this endpoint leaves for good."""
+        assert self.session is not None
+        async with self.session.post(self.url("Endpoints.Deregister")) as response:
+            await response.read()
+
+    def url(self, call: str) -> str:
+        """Return the address of a call for this endpoint."""
+        host, port = self.control
+        return f"http://{host}:{port}/sassafraswharf/{call}/{self.instance}"
+
+    async def handle(self, request: web.BaseRequest) -> web.Response:
+        """Run a request, or say that it was not run."""
+        headers = request.headers
+        expected = headers.get("Expect-Instance", self.instance)
+        key = int(headers.get("Shard-Key", "0"))
+        holds_key = any(
+            one.first <= key <= one.last for one in self.held(time.monotonic())
+        )
+        if expected != self.instance or (self.keyed and not holds_key):
+            return web.Response(status=421, headers=NOT_RUN)
+        if len(self.running) >= self.slots:
+            return web.Response(status=503, headers=NOT_RUN)
+        self.running.append(key)
+        request_id = headers.get("Request-Id", "")
+        try:
+            body = await request.read()
+            self.runs.append(
+                Run(
+                    request_id,
+                    self.instance,
+                    request.method,
+                    request.raw_path,
+                    headers.get("Caller-Service", ""),
+                    body,
+                )
+            )
+            await asyncio.sleep(self.work_s)
+        finally:
+            self.running.remove(key)
+        signature = {"Response-Signature": self.instance, "Request-Id": request_id}
+        return web.Response(headers=signature, body=b"served " + body)
--- /dev/null
+++ b/tests/provider/test_fleet.py
@@ -0,0 +1,161 @@
+"""The whole path on loopback: five endpoints, real routers and control hosts."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import signal
+import time
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from tests.provider.harness import BOOKING
+from tests.provider.harness import DIARY
+from tests.provider.harness import HOST
+from tests.provider.harness import Fleet
+from tests.provider.harness import document
+
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+    from pathlib import Path
+
+
+SERVICES = [DIARY, DIARY, DIARY, BOOKING, BOOKING]
+
+
+def play(folder: Path, net: int, scenario: Callable[[Fleet], Awaitable[None]]) -> None:
+    async def main() -> None:
+        fleet = Fleet(folder, SERVICES, net)
+        try:
+            await fleet.start()
+            await scenario(fleet)
+        finally:
+            await fleet.stop()
+
+    asyncio.run(main())
+
+
+def test_a_request_is_served_whole_with_its_origin(tmp_path: Path) -> None:
+    """Guards against a request that loses its body, target or origin on the way."""
+
+    async def scenario(fleet: Fleet) -> None:
+        caller = fleet.caller("side-3")
+        reply = await caller.send(
+            "POST", "/book/a%20b?c=d%2F", HOST, body=b"whole body"
+        )
+        assert reply.status == 200
+        assert reply.body == b"served whole body"
+        run = next(
+            run
+            for endpoint in fleet.endpoints.values()
+            for run in endpoint.runs
+            if run.request_id == reply.request_id
+        )
+        assert run.target == "/book/a%20b?c=d%2F"
+        assert run.origin == BOOKING
+        assert (await caller.send("GET", "/nowhere/", HOST)).status == 404
+
+    play(tmp_path, 11, scenario)
+
+
+@pytest.mark.parametrize("victim", ["core-0", "side-0"])
+def test_keys_are_served_again_after_a_process_was_killed(
+    tmp_path: Path, victim: str
+) -> None:
+    """Guards against keys that nobody serves after a kill and a restart."""
+
+    async def scenario(fleet: Fleet) -> None:
+        fleet.machines.kill(victim)
+        await asyncio.sleep(0.5)
+        fleet.machines.start(victim)
+        await fleet.until(fleet.is_served, "keys are not served again")
+
+    play(tmp_path, 12 if victim == "core-0" else 13, scenario)
+
+
+def test_an_ended_endpoint_is_replaced_by_the_others(tmp_path: Path) -> None:
+    """Guards against two holders of a key while an owner is replaced."""
+
+    async def scenario(fleet: Fleet) -> None:
+        await fleet.end_endpoint("side-1")
+        await fleet.until(fleet.is_served, "keys are not served again")
+        await fleet.start_endpoint("side-1")
+        await asyncio.sleep(3)
+        now = time.monotonic()
+        held = sorted(
+            (hold.first, hold.last)
+            for endpoint in fleet.endpoints.values()
+            for hold in endpoint.held(now)
+        )
+        assert all(before[1] < after[0] for before, after in itertools.pairwise(held))
+
+    play(tmp_path, 14, scenario)
+
+
+def test_a_booking_runs_at_most_once_while_routers_are_stopped(
+    tmp_path: Path,
+) -> None:
+    """Guards against a booking that is doubled, or refused although it ran."""
+
+    async def scenario(fleet: Fleet) -> None:
+        caller = fleet.caller("side-0")
+
+        async def book() -> tuple[str, int]:
+            reply = await caller.send("POST", "/book/x", HOST, body=b"b")
+            return reply.request_id, reply.status
+
+        replies: list[tuple[str, int]] = []
+        for turn in range(30):
+            if turn == 5:
+                fleet.machines.signal("side-3", signal.SIGTERM)
+            if turn == 12:
+                fleet.machines.kill("side-4")
+            if turn == 18:
+                fleet.machines.processes["side-3"].wait(10)
+                fleet.machines.start("side-3")
+                fleet.machines.start("side-4")
+            replies += await asyncio.gather(*(book() for _ in range(5)))
+            await asyncio.sleep(0.1)
+        runs = fleet.runs()
+        assert all(runs.get(request, 0) <= 1 for request, _ in replies)
+        refused = [one for one, status in replies if status in {429, 503}]
+        assert not [one for one in refused if runs.get(one)]
+        answered = [one for one, status in replies if status == 200]
+        assert all(runs[one] == 1 for one in answered)
+        assert len(answered) > len(replies) / 2
+
+    play(tmp_path, 15, scenario)
+
+
+def test_a_change_is_in_force_everywhere_and_survives_the_control_hosts(
+    tmp_path: Path,
+) -> None:
+    """Guards against an acknowledged configuration that is lost or reverts."""
+
+    async def scenario(fleet: Fleet) -> None:
+        extra = {"pathPrefix": "/new/", "routeType": "idempotent", "service": BOOKING}
+        changed = document(5, 1, new=extra)
+        assert await fleet.operator.replace(changed) == 200
+        assert await fleet.operator.replace(document(6, 1)) == 412
+
+        async def is_in_force() -> bool:
+            replies = [
+                await fleet.caller(machine.name).send("GET", "/new/x", HOST)
+                for machine in fleet.machines.routers
+            ]
+            return all(reply.status == 200 for reply in replies)
+
+        await fleet.until(is_in_force, "the change is not in force everywhere")
+        for machine in fleet.machines.controls:
+            fleet.machines.kill(machine.name)
+        for machine in fleet.machines.controls:
+            fleet.machines.start(machine.name)
+        assert await fleet.operator.replace(changed) == 200
+        assert (await fleet.operator.read())["version"] == "00000005"
+        assert await is_in_force()
+
+    play(tmp_path, 16, scenario)
