Log how busy the owners of keys are with each change of rows; allow 64 rows

An owner with more than 24 rows could give none away; an answer to a heartbeat has room for about 90.

--- a/src/sassafraswharf/fleet/control_node.py
+++ b/src/sassafraswharf/fleet/control_node.py
@@ -349,6 +349,14 @@
             joined=[one.instance.name for one in change.upstreams],
             left=[one.name for one in change.removed],
             rows={one.service: len(one.rows) for one in change.rows},
+            moving={
+                one.service: sum(row.is_moving for row in one.rows)
+                for one in change.rows
+            },
+            busy={
+                one.service: self.coordinator.busy_shares.get(one.service, {})
+                for one in change.rows
+            },
         )
         self.news.notify()
         self.due.set()
--- a/src/sassafraswharf/fleet/coordinator.py
+++ b/src/sassafraswharf/fleet/coordinator.py
@@ -89,6 +89,7 @@
         self.weights: dict[str, KeyWeights] = {}
         self.announced_at: dict[str, float] = {}
         self.rebalanced_at: dict[str, float] = {}
+        self.busy_shares: dict[str, dict[str, float]] = {}
 
     def start_term(self, now: float) -> None:
         """Forget what was heard before; reports of routers arrive anew."""
@@ -221,7 +222,10 @@
             if placement.welcome(owning) or placement.relieve():
                 self.rebalanced_at[service] = now
                 changed = True
-        return placement.result() if changed else None
+        if not changed:
+            return None
+        self.busy_shares[service] = placement.busy_shares()
+        return placement.result()
 
     def _settle(self, row: KeyRow, table: FleetTable) -> KeyRow:
         """Complete a move whose owner has released the keys."""
--- a/src/sassafraswharf/fleet/key_placement.py
+++ b/src/sassafraswharf/fleet/key_placement.py
@@ -29,7 +29,8 @@
 """Runs of keys of one service that are on their way at a time."""
 FIRST_SHARE = 0.6
 """Share of its fair load that a new upstream is given, while it is still cold."""
-MAX_ROWS_PER_UPSTREAM = 24
+MAX_ROWS_PER_UPSTREAM = 64
+"""An answer to a heartbeat is bounded to 4 KiB, which holds about 90 rows."""
 
 
 class Candidate(NamedTuple):
@@ -158,6 +159,13 @@
                 return True
         return False
 
+    def busy_shares(self) -> dict[str, float]:
+        """Return the share of its slots that each candidate's load keeps at work."""
+        return {
+            instance.name: round(self._busy_share(instance), 2)
+            for instance in self.candidates
+        }
+
     def _busy_share(self, instance: Instance) -> float:
         """Return the share of the slots that the load keeps at work."""
         rate = self.weights.rate_of(self.loads[instance])
