Serve metrics on demand, follow changed settings, trace a request's story

Settings are read again every second, so that new seeds count without a signal. The command trace joins the decision logs of several processes.

--- a/src/sassafraswharf/console/application.py
+++ b/src/sassafraswharf/console/application.py
@@ -25,6 +25,7 @@
 from sassafraswharf.console.commands import show
 from sassafraswharf.console.commands import status
 from sassafraswharf.console.commands import suspects
+from sassafraswharf.console.commands import trace
 from sassafraswharf.console.commands import upstreams
 from sassafraswharf.console.commands import voter_add
 from sassafraswharf.console.commands import voter_remove
@@ -45,7 +46,7 @@
 REQUESTS: Final = "Requests"
 CONTROL: Final = "Control hosts"
 
-READS_FILE: Final = frozenset({"apply", "check"})
+READS_FILE: Final = frozenset({"apply", "check", "trace"})
 COMMANDS: Final[Sequence[tuple[str, Callable[..., object], str, str]]] = (
     ("apply", apply.apply, apply.EXAMPLES, CONFIGURATION),
     ("show", show.show, show.EXAMPLES, CONFIGURATION),
@@ -66,6 +67,7 @@
         journal_release.EXAMPLES,
         REQUESTS,
     ),
+    ("trace", trace.trace, trace.EXAMPLES, REQUESTS),
     ("voters", voters.voters, voters.EXAMPLES, CONTROL),
     ("voter-add", voter_add.voter_add, voter_add.EXAMPLES, CONTROL),
     ("voter-remove", voter_remove.voter_remove, voter_remove.EXAMPLES, CONTROL),
--- a/src/sassafraswharf/gateway/ingress.py
+++ b/src/sassafraswharf/gateway/ingress.py
@@ -16,6 +16,7 @@
 from sassafraswharf.codes import ResultCode
 from sassafraswharf.gateway.message_text import as_chunks
 from sassafraswharf.gateway.message_text import read_body
+from sassafraswharf.gateway.tally import RequestTally
 from sassafraswharf.gateway.work import Answer
 from sassafraswharf.gateway.work import Rejection
 from sassafraswharf.gateway.work import Terms
@@ -122,7 +123,7 @@
         self.split = TrafficSplit(offset)
         self.budgets: dict[str, RepeatBudget] = {}
         self.full_deadlines: dict[str, float] = {}
-        self.counts: dict[str, int] = {}
+        self.tally = RequestTally()
         self.closing = False
         self.excluded = frozenset(
             name.lower() for name in (names.deadline_ms, names.instance, names.origin)
@@ -144,8 +145,16 @@
                 outcome = await self.serve(work, target.route, progress)
         except TimeoutError:
             outcome = Err(self.on_timeout(progress))
+        code = 0 if isinstance(outcome, Ok) else int(outcome.err_value.code)
+        self.tally.ended(
+            target.route.name,
+            work.service,
+            code,
+            self.clock.now() - now,
+            repeatable=work.repeatable,
+        )
         if isinstance(outcome, Ok):
-            self.count(work, target.route, progress, now)
+            self.log_answer(work, target.route, progress, now)
             return await self.respond_answer(request, outcome.ok_value)
         self.log.record(
             "failed",
@@ -268,6 +277,7 @@
                 return outcome
             rejection = outcome.err_value
             progress.last = self.combine(progress.last, rejection)
+            self.tally.attempts[str(int(rejection.code))] += 1
             if not self.may_try_again(work, route, rejection, progress, budget):
                 return Err(progress.last)
             if work.key is not None and rejection.code is ResultCode.NO_UPSTREAM:
@@ -359,9 +369,11 @@
 
     # Responding.
 
-    def count(self, work: Work, route: Route, progress: Progress, began: float) -> None:
-        """Count an answer and log a sample of them."""
-        number = self.counts[route.name] = self.counts.get(route.name, 0) + 1
+    def log_answer(
+        self, work: Work, route: Route, progress: Progress, began: float
+    ) -> None:
+        """Log a sample of the answers, and each that took several attempts."""
+        number = self.tally.routes[route.name]
         if progress.attempts > 1 or number % SUCCESS_SAMPLE == 1:
             self.log.record(
                 "answered",
--- /dev/null
+++ b/src/sassafraswharf/gateway/router_metrics.py
@@ -0,0 +1,74 @@
+"""The metrics of a router beside an upstream that announces itself."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from collections.abc import Mapping
+
+    from sassafraswharf.gateway.router_node import RouterNode
+    from sassafraswharf.observability.metrics import Metrics
+
+
+def declare(metrics: Metrics, router: RouterNode) -> None:
+    """Declare all metrics of a router; they are read when they are collected."""
+    tally = router.ingress.tally
+    metrics.observe(
+        "sassafraswharf_requests",
+        lambda: labelled("code", tally.codes),
+        "Requests of callers by result code",
+    )
+    metrics.observe(
+        "sassafraswharf_attempts",
+        lambda: labelled("reason", tally.attempts),
+        "Further attempts after the first one",
+    )
+    metrics.observe(
+        "sassafraswharf_route_requests",
+        lambda: labelled("route", tally.routes),
+        "Requests of callers by route",
+    )
+    metrics.observe(
+        "sassafraswharf_request_latency",
+        tally.latency.read,
+        "Requests answered within le seconds, by service and kind",
+    )
+    metrics.gauge(
+        "sassafraswharf_router_state",
+        lambda: state(router),
+        "what",
+        "Lease remaining in seconds, versions in force, holds and queue",
+    )
+
+
+def labelled(
+    label: str, values: Mapping[str, int]
+) -> Iterator[tuple[int, Mapping[str, str]]]:
+    """Yield counts with their label."""
+    for name, value in values.items():
+        yield value, {label: name}
+
+
+def state(router: RouterNode) -> dict[str, float]:
+    """Return the single values of a router."""
+    now = router.clock.now()
+    local = router.local
+    values = {
+        "lease_remaining_s": max(0.0, router.link.lease_until - now),
+        "table_version": float(router.view.fleet.version),
+        "configuration_revision": float(router.view.plan.version),
+        "log_lines_dropped": float(router.log.dropped),
+    }
+    if local is not None:
+        values |= {
+            "upstream_running": float(local.queue.running),
+            "upstream_waiting": float(len(local.queue.waiting)),
+            "upstream_limit": float(local.queue.limit),
+            "upstream_service_s": local.queue.service_s,
+            "upstream_connections_opened": float(local.pool.opened),
+            "held_rows": float(len(local.holds.current)),
+        }
+    return values
--- a/src/sassafraswharf/gateway/router_node.py
+++ b/src/sassafraswharf/gateway/router_node.py
@@ -186,6 +186,12 @@
         self.hops.close()
         self.log.record("stopped")
 
+    def on_settings(self, node: Node) -> None:
+        """Use changed settings: the seeds and the service of the upstream."""
+        self.node = node
+        self.link.seeds = tuple(ip for ip, _ in node.seeds)
+        self.ingress.origin = node.upstream["service"] if node.upstream else ""
+
     def is_ready(self) -> bool:
         """Return whether callers may send requests to this process."""
         return (
--- a/src/sassafraswharf/platform/main.py
+++ b/src/sassafraswharf/platform/main.py
@@ -20,6 +20,7 @@
 from sassafraswharf.exceptions import SassafraswharfError
 from sassafraswharf.observability.decision_log import DecisionLog
 from sassafraswharf.observability.json_log import configure_logging
+from sassafraswharf.observability.metrics_page import MetricsPage
 from sassafraswharf.platform import names
 from sassafraswharf.platform.documents import DocumentReader
 from sassafraswharf.router.http_server import HttpServer
@@ -33,6 +34,7 @@
 
     from aiohttp import web
 
+    from sassafraswharf.observability.metrics import Metrics
     from sassafraswharf.settings.node_schema import Node
 
     Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
@@ -41,6 +43,7 @@
 EXIT_SETTINGS = 2
 EXIT_START = 3
 STANDARD_OUTPUT = 1
+SETTINGS_CHECK_S = 1.0
 MAX_CALL_BYTES = 16_777_216
 MAX_HEADER_BYTES = 16_384
 HEADER_TIMEOUT_S = 5.0
@@ -94,6 +97,7 @@
 
 async def run_router(node: Node, log: DecisionLog, stop: asyncio.Event) -> None:
     """Run the router beside an endpoint."""
+    from sassafraswharf.gateway import router_metrics
     from sassafraswharf.gateway.router_node import RouterNode
     from sassafraswharf.platform.endpoint_api import EndpointApi
 
@@ -109,15 +113,21 @@
     await control.start(*node.listen[names.CONTROL])
     await readiness.start(*node.listen[names.READINESS])
     await router.start(node.listen[names.CALLERS])
+    metrics = await start_metrics(
+        node, lambda metrics: router_metrics.declare(metrics, router)
+    )
+    watching = asyncio.create_task(watch_settings(node, log, router.on_settings))
     reduce_collections()
     await stop.wait()
+    watching.cancel()
     await router.stop()
-    await control.stop()
-    await readiness.stop()
+    for server in (control, readiness, metrics):
+        await server.stop()
 
 
 async def run_control(node: Node, log: DecisionLog, stop: asyncio.Event) -> None:
     """Run a control host."""
+    from sassafraswharf.fleet import control_metrics
     from sassafraswharf.fleet.control_node import ControlNode
     from sassafraswharf.platform.operator_api import OperatorApi
 
@@ -127,11 +137,50 @@
     server = create_server(api.handle)
     await control.start()
     await server.start(*address)
+    metrics = await start_metrics(
+        node, lambda metrics: control_metrics.declare(metrics, control)
+    )
+    watching = asyncio.create_task(watch_settings(node, log, lambda _: None))
     reduce_collections()
     await stop.wait()
+    watching.cancel()
     await server.stop_accepting()
     await control.stop()
     await server.stop()
+    await metrics.stop()
+
+
+async def start_metrics(node: Node, declare: Callable[[Metrics], None]) -> HttpServer:
+    """Serve the metrics of the process, if its settings name a port."""
+    page = MetricsPage(node.host, node.zone, declare)
+    server = create_server(page.handle)
+    if node.metrics_port:
+        await server.start(node.address, node.metrics_port)
+    return server
+
+
+async def watch_settings(
+    node: Node, log: DecisionLog, on_change: Callable[[Node], None]
+) -> None:
+    """Look for changed settings, which may come with or without a signal.
+
+    Settings that can't be read are reported once and the earlier ones stay.
+    """
+    path = Path(os.environ.get(names.SETTINGS_VARIABLE, ""))
+    seen = node
+    refused = ""
+    while True:
+        await asyncio.sleep(SETTINGS_CHECK_S)
+        loaded = load_node(path, names.BOUND_NAMES)
+        if isinstance(loaded, Err):
+            why = str(loaded.err_value)
+            if why != refused:
+                log.record("reload_refused", why=why)
+            refused = why
+        elif loaded.ok_value != seen:
+            seen = loaded.ok_value
+            log.record("reload", seeds=[ip for ip, _ in seen.seeds])
+            on_change(seen)
 
 
 def create_server(handler: Handler) -> HttpServer:
--- a/src/sassafraswharf/settings/node_loader.py
+++ b/src/sassafraswharf/settings/node_loader.py
@@ -82,6 +82,7 @@
             first,
             last,
             listen,
+            settings.get("metrics_port", 0),
             settings["tolerated_hosts"],
             terms.ok_value,
         )
--- a/src/sassafraswharf/settings/node_schema.py
+++ b/src/sassafraswharf/settings/node_schema.py
@@ -43,6 +43,7 @@
     control_seeds: list[str]
     peer_ports: Annotated[list[PortNumber], msgspec.Meta(min_length=2, max_length=2)]
     listen: dict[str, str]
+    metrics_port: NotRequired[PortNumber]
     heartbeat_interval: str
     tolerated_hosts: Annotated[int, msgspec.Meta(ge=0, le=1_000)]
     bounds: dict[str, str | int | float | bool]
@@ -75,5 +76,6 @@
     first_peer_port: int
     last_peer_port: int
     listen: dict[str, tuple[str, int]]
+    metrics_port: int
     tolerated_hosts: int
     terms: Terms
