Take keys for released only after their router knows that they move

A row had been assigned to an upstream that had not sent a heartbeat yet; the leader moved a part of it on, and a report that its router had made before it knew of the move said that nothing was held, which was true then. The router granted the row 30 ms later. Ruled out: lease arithmetic (both leases were in force), the release token (there was none). A row now carries the log index at which its owner was asked, and a report counts only from that version on. The test failed before and passes now.

--- a/src/sassafraswharf/fleet/coordinator.py
+++ b/src/sassafraswharf/fleet/coordinator.py
@@ -249,7 +249,13 @@
     def _release_token(
         self, row: KeyRow, report: UpstreamReport, fleet_version: int
     ) -> str | None:
-        """Return the handover token of a released row, ``None`` if it is held."""
+        """Return the handover token of a released row, ``None`` if it is held.
+
+        A report counts only if its router knew that the keys are to be released.
+        Before, it may have held nothing and have granted them later.
+        """
+        if fleet_version < row.asked:
+            return None
         if any(
             held.first <= row.last and held.last >= row.first for held in report.held
         ):
@@ -257,11 +263,8 @@
         for released in report.released:
             if released.first <= row.first and row.last <= released.last:
                 return released.handover
-        # Without a report of the release the router must know that it no longer
-        # grants the row, and everything that it granted must have run out.
-        if report.is_complete and fleet_version > row.fence:
-            return ""
-        return None
+        # Without a report of the release everything granted must have run out.
+        return "" if report.is_complete else None
 
     def _candidates(self, upstreams: list[Upstream], now: float) -> list[Candidate]:
         """Return the upstreams that may own keys, with measured speeds."""
--- a/src/sassafraswharf/fleet/fleet_table.py
+++ b/src/sassafraswharf/fleet/fleet_table.py
@@ -49,9 +49,7 @@
             for upstream in self.upstreams.values():
                 self.by_service.setdefault(upstream.service, []).append(upstream)
         for service, rows in change.rows:
-            self.rows[service] = tuple(
-                row if row.fence else row._replace(fence=version) for row in rows
-            )
+            self.rows[service] = tuple(stamp(row, version) for row in rows)
             self.starts[service] = [row.first for row in rows]
 
     def row_of(self, service: str, key: int) -> KeyRow | None:
@@ -75,6 +73,15 @@
         return FleetChange(tuple(self.upstreams.values()), (), rows, "", True)
 
 
+def stamp(row: KeyRow, version: int) -> KeyRow:
+    """Return a row with the log index of what is new about it."""
+    if not row.fence:
+        row = row._replace(fence=version)
+    if row.is_moving and not row.asked:
+        row = row._replace(asked=version)
+    return row
+
+
 def free_rows() -> tuple[KeyRow, ...]:
     """Return the rows of a service whose keys nobody owns."""
     return (KeyRow(0, KEY_COUNT - 1, NOBODY, 0),)
--- a/src/sassafraswharf/fleet/values.py
+++ b/src/sassafraswharf/fleet/values.py
@@ -45,7 +45,8 @@
 
     ``fence`` grows with each change of the owner. ``handover`` is the token of
     the previous owner that makes the keys warm, empty where there is none.
-    ``target`` is the next owner while the present one is asked to release.
+    ``target`` is the next owner while the present one is asked to release, and
+    ``asked`` the log index at which it was asked.
     """
 
     first: int
@@ -54,6 +55,7 @@
     fence: int
     handover: str = ""
     target: Instance = NOBODY
+    asked: int = 0
 
     @property
     def is_moving(self) -> bool:
@@ -77,7 +79,8 @@
     """A step from one version of the fleet to a later one.
 
     ``rows`` replaces the rows of each named service. A row with fence 0 gets
-    the log index of the change as its fence. With ``is_whole`` the change
+    the log index of the change as its fence, one with a new target as the index
+    at which its owner was asked. With ``is_whole`` the change
     replaces the table.
     """
 
--- a/tests/fleet/test_coordinator.py
+++ b/tests/fleet/test_coordinator.py
@@ -41,7 +41,7 @@
         self.loads: tuple[KeyLoad, ...] = ()
         self.coordinator.start_term(self.now)
 
-    def report(self, name: str, *, boot: int = 1) -> None:
+    def report(self, name: str, *, boot: int = 1, version: int | None = None) -> None:
         self.sequence += 1
         upstream = UpstreamReport(
             self.instances[name],
@@ -62,7 +62,7 @@
             boot,
             self.sequence,
             0,
-            self.table.version,
+            self.table.version if version is None else version,
             0.0,
             upstream,
             self.ended.get(name, ()),
@@ -243,3 +243,31 @@
     fleet.report("a", boot=2)
     fleet.step()
     assert "i-a" not in fleet.owners()
+
+
+@pytest.mark.parametrize("released", [False, True])
+def test_keys_are_not_moved_before_their_router_knows_of_the_move(
+    released: bool,
+) -> None:
+    """Guards against a router that grants keys after it was taken to hold none.
+
+    It had been assigned the keys, but its upstream had not sent a heartbeat yet,
+    when the leader moved a part of them on. Found by a hunt: strapworks-cairo,
+    hunt-73b1-7, two holders for 1006 ms.
+    """
+    fleet = started()
+    fleet.held["a"] = ()
+    if released:
+        fleet.released["a"] = (ReleasedRow(0, KEY_COUNT - 1, "older"),)
+    known = fleet.table.version
+    fleet.silent.add("a")
+    fleet.draining.add("a")
+    fleet.report("a", version=known)
+    fleet.step()
+    assert any(row.is_moving for row in fleet.rows())
+    fleet.report("a", version=known)
+    fleet.step()
+    assert "i-a" in fleet.owners()
+    fleet.report("a")
+    fleet.step()
+    assert "i-a" not in fleet.owners()
