Answer requests that arrived before a planned stop closed their connection

Ruled out: the grace (6 s, 3 left). The stop now lets the loop accept and read what has arrived before it closes anything, and answers to other routers close their connections while a process stops.

--- a/src/sassafraswharf/gateway/router_node.py
+++ b/src/sassafraswharf/gateway/router_node.py
@@ -374,7 +374,10 @@
         headers = CIMultiDict(answer.headers)
         headers[OUTCOME] = encode_outcome(None, local.hint())
         if answer.rest is None:
-            return web.Response(status=answer.status, headers=headers, body=answer.body)
+            response = web.Response(
+                status=answer.status, headers=headers, body=answer.body
+            )
+            return self.close_when_stopping(response)
         stream = web.StreamResponse(status=answer.status, headers=headers)
         await stream.prepare(request)
         try:
@@ -409,4 +412,11 @@
         """Return a rejection to another router."""
         hint = self.local.hint() if self.local else LoadHint(0, 0, 1, 0.0)
         headers = {OUTCOME: encode_outcome(rejection, hint)}
-        return web.Response(status=503, headers=headers)
+        response = web.Response(status=503, headers=headers)
+        return self.close_when_stopping(response)
+
+    def close_when_stopping(self, response: web.Response) -> web.Response:
+        """Keep other routers from sending to a process that is about to end."""
+        if self.stopping:
+            response.force_close()
+        return response
--- a/src/sassafraswharf/router/http_server.py
+++ b/src/sassafraswharf/router/http_server.py
@@ -31,6 +31,8 @@
 MAX_LINE_BYTES: Final = 8_190
 BACKLOG: Final = 1_024
 FIRST_SERVER_ERROR: Final = 500
+POLL_TURNS: Final = 4
+"""Turns of the event loop until a connection is accepted, read and handled."""
 MAX_REASON_CHARACTERS: Final = 100
 
 
@@ -187,11 +189,22 @@
         return int(self.server.sockets[0].getsockname()[1])
 
     async def stop_accepting(self) -> None:
-        """Close the listening socket and idle connections."""
+        """Close the listening socket and idle connections.
+
+        What has arrived before is accepted and read first. A busy event loop may
+        not have seen it yet, and closing a connection would lose its request.
+        """
+        await self.read_arrived()
         if self.server is not None:
             self.server.close()
+        await self.read_arrived()
         self.pre_shutdown()
 
+    async def read_arrived(self) -> None:
+        """Let the event loop poll its sockets."""
+        for _ in range(POLL_TURNS):
+            await asyncio.sleep(0)
+
     async def drain(self, timeout_s: float) -> bool:
         """Wait until no request is active; return False after ``timeout_s``."""
         try:
