Wait for callers last when a router stops

A router closed its caller's connection 2.84 s after SIGTERM, 0.55 s after it had taken the request: the callers were idle for a moment when they were waited for, then the other routers were waited for, and a request that had begun meanwhile was cut.

--- a/src/sassafraswharf/gateway/router_node.py
+++ b/src/sassafraswharf/gateway/router_node.py
@@ -176,8 +176,10 @@
         await self.routers.stop_accepting()
         left_s = self.node.terms.grace_s - FINISH_MARGIN_S
         left_s -= self.clock.now() - began
-        await self.callers.drain(max(left_s, 0.0))
-        await self.routers.drain(max(left_s, 0.0))
+        # Callers last: one may have begun while the other routers were waited for.
+        deadline = self.clock.now() + max(left_s, 0.0)
+        for server in (self.routers, self.callers):
+            await server.drain(max(0.0, deadline - self.clock.now()))
         for task in self.tasks:
             task.cancel()
         await self.link.stop()
