--- a/src/sassafraswharf/platform/main.py
+++ b/src/sassafraswharf/platform/main.py
@@ -16,8 +16,11 @@
 from result import Err
 
 from sassafraswharf.clock import BootClock
+from sassafraswharf.codes import ResultCode
 from sassafraswharf.daemon.collections import reduce_collections
 from sassafraswharf.exceptions import SassafraswharfError
+from sassafraswharf.exceptions import SettingsError
+from sassafraswharf.failure import Failure
 from sassafraswharf.observability.decision_log import DecisionLog
 from sassafraswharf.observability.json_log import configure_logging
 from sassafraswharf.observability.metrics_page import MetricsPage
@@ -59,7 +62,7 @@
     parser.add_argument("role", choices=["router", "control"])
     role = parser.parse_args().role
     path = Path(os.environ.get(names.SETTINGS_VARIABLE, ""))
-    loaded = load_node(path, names.BOUND_NAMES)
+    loaded = load_node(path)
     if isinstance(loaded, Err):
         sys.stderr.write(f"sassafraswharf: {loaded.err_value}\n")
         sys.exit(EXIT_SETTINGS)
@@ -110,9 +113,13 @@
     api = EndpointApi(router, log)
     control = create_server(api.handle_control)
     readiness = create_server(api.handle_readiness)
-    await control.start(*node.listen[names.CONTROL])
-    await readiness.start(*node.listen[names.READINESS])
-    await router.start(node.listen[names.CALLERS])
+    callers, ready = node.listen.callers, node.listen.readiness
+    if callers is None or ready is None:
+        reason = "listen.callers and listen.readiness are required beside an upstream"
+        raise SettingsError(Failure(ResultCode.SETTINGS_MISSING_FIELD, reason))
+    await control.start(*node.listen.control)
+    await readiness.start(*ready)
+    await router.start(callers)
     metrics = await start_metrics(
         node, lambda metrics: router_metrics.declare(metrics, router)
     )
@@ -132,7 +139,7 @@
     from sassafraswharf.platform.operator_api import OperatorApi
 
     control = ControlNode(node, DocumentReader(), BootClock(), log)
-    address = node.listen[names.CONTROL]
+    address = node.listen.control
     api = OperatorApi(control, address[1])
     server = create_server(api.handle)
     await control.start()
@@ -171,7 +178,7 @@
     refused = ""
     while True:
         await asyncio.sleep(SETTINGS_CHECK_S)
-        loaded = load_node(path, names.BOUND_NAMES)
+        loaded = load_node(path)
         if isinstance(loaded, Err):
             why = str(loaded.err_value)
             if why != refused:
--- a/src/sassafraswharf/platform/names.py
+++ b/src/sassafraswharf/platform/names.py
@@ -19,22 +19,6 @@
     key="Shard-Key",
 )
 
-BOUND_NAMES: Final = {
-    "drain_s": "drain",
-    "grace_s": "grace",
-    "configuration_s": "configApply",
-    "hold_limit_s": "holdMax",
-    "retry_ratio": "retryBudgetRatio",
-    "retry_slack": "retryBudgetSlack",
-    "retry_window_s": "budgetWindow",
-}
-"""Fields of ``settings.node_schema.Terms`` and the names of the bounds."""
-
-CALLERS: Final = "outbound"
-READINESS: Final = "readyAddr"
-CONTROL: Final = "control"
-"""Keys of the listening addresses."""
-
 READY_PATH: Final = "/sassafraswharf/readyz"
 HEARTBEAT_PATH: Final = "/sassafraswharf/Endpoints.Heartbeat/"
 LEAVE_PATH: Final = "/sassafraswharf/Endpoints.Deregister/"
--- a/src/sassafraswharf/settings/node_loader.py
+++ b/src/sassafraswharf/settings/node_loader.py
@@ -12,30 +12,34 @@
 from sassafraswharf.failure import Failure
 from sassafraswharf.settings.document import parse_document
 from sassafraswharf.settings.durations import parse_duration
+from sassafraswharf.settings.node_schema import TERM_FIELDS
+from sassafraswharf.settings.node_schema import Listen
+from sassafraswharf.settings.node_schema import ListenSettings
 from sassafraswharf.settings.node_schema import Node
 from sassafraswharf.settings.node_schema import NodeSettings
 from sassafraswharf.settings.node_schema import Terms
+from sassafraswharf.settings.node_schema import TermsSettings
 from sassafraswharf.settings.typed_values import check_typed
 
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
     from pathlib import Path
 
 
 HIGHEST_PORT = 65_535
 
 
-def load_node(path: Path, bound_names: Mapping[str, str]) -> Result[Node, Failure]:
-    """Return the checked settings of a file.
-
-    ``bound_names`` maps the fields of ``Terms`` to their names under ``bounds``.
-    A missing bound keeps its default. Failures have the codes 1001 and 1003.
-    """
+def load_node(path: Path) -> Result[Node, Failure]:
+    """Return the checked settings of a file; failures are 1001 and 1003."""
     try:
         text = path.read_text(encoding="utf-8")
     except (OSError, ValueError) as error:
         return Err(Failure(ResultCode.SETTINGS_UNREADABLE, f"{path}: {error}"))
+    return parse_node(text, path)
+
+
+def parse_node(text: str, path: Path) -> Result[Node, Failure]:
+    """Check the text of a settings file; failures are 1001 and 1003."""
     document = parse_document(text)
     if isinstance(document, Err):
         reason = f"{path}: {document.err_value}"
@@ -44,30 +48,22 @@
     if isinstance(checked, Err):
         reason = f"{path}: {checked.err_value}"
         return Err(Failure(ResultCode.SETTINGS_INVALID_VALUE, reason))
-    return resolve(checked.ok_value, bound_names).map_err(
+    return resolve(checked.ok_value).map_err(
         lambda reason: Failure(ResultCode.SETTINGS_INVALID_VALUE, f"{path}: {reason}")
     )
 
 
-def resolve(
-    settings: NodeSettings, bound_names: Mapping[str, str]
-) -> Result[Node, str]:
+def resolve(settings: NodeSettings) -> Result[Node, str]:
     """Return the settings with parsed addresses and durations."""
-    listen: dict[str, tuple[str, int]] = {}
-    for name, text in settings["listen"].items():
-        address = parse_address(text)
-        if isinstance(address, Err):
-            return Err(f"listen.{name}: {address.err_value}")
-        listen[name] = address.ok_value
-    seeds = []
-    for position, text in enumerate(settings["control_seeds"]):
-        address = parse_address(text)
-        if isinstance(address, Err):
-            return Err(f"control_seeds[{position}]: {address.err_value}")
-        seeds.append(address.ok_value)
-    terms = read_terms(settings, bound_names)
-    if isinstance(terms, Err):
-        return terms
+    try:
+        listen = read_listen(settings["listen"])
+        seeds = tuple(
+            address_of(f"control_seeds[{position}]", text)
+            for position, text in enumerate(settings["control_seeds"])
+        )
+        terms = read_terms(settings["terms"])
+    except ValueError as error:
+        return Err(str(error))
     first, last = settings["peer_ports"]
     return Ok(
         Node(
@@ -78,36 +74,49 @@
             settings["first_start"],
             settings.get("data_folder"),
             settings.get("upstream"),
-            tuple(seeds),
+            seeds,
             first,
             last,
             listen,
             settings.get("metrics_port", 0),
             settings["tolerated_hosts"],
-            terms.ok_value,
+            terms,
         )
     )
 
 
-def read_terms(
-    settings: NodeSettings, bound_names: Mapping[str, str]
-) -> Result[Terms, str]:
-    """Return the terms; a bound that is not a number or duration is refused."""
-    heartbeat = parse_duration(settings["heartbeat_interval"])
-    if isinstance(heartbeat, Err):
-        return Err(f"heartbeat_interval: {heartbeat.err_value}")
-    values: dict[str, float] = {"heartbeat_s": heartbeat.ok_value}
-    for field, name in bound_names.items():
-        value = settings["bounds"].get(name)
-        if value is None:
-            continue
+def read_listen(settings: ListenSettings) -> Listen:
+    """Return the listening addresses; raises ``ValueError`` naming the field."""
+    callers, readiness = settings["callers"], settings["readiness"]
+    return Listen(
+        address_of("listen.callers", callers) if callers else None,
+        address_of("listen.readiness", readiness) if readiness else None,
+        address_of("listen.control", settings["control"]),
+    )
+
+
+def read_terms(settings: TermsSettings) -> Terms:
+    """Return the terms in seconds; raises ``ValueError`` naming the field."""
+    values: dict[str, float] = {}
+    for name, value in settings.items():
         if isinstance(value, str):
             seconds = parse_duration(value)
             if isinstance(seconds, Err):
-                return Err(f"bounds.{name}: {seconds.err_value}")
-            value = seconds.ok_value
-        values[field] = float(value)
-    return Ok(Terms(**values))
+                message = f"terms.{name}: {seconds.err_value}"
+                raise ValueError(message)
+            values[TERM_FIELDS[name]] = seconds.ok_value
+        elif isinstance(value, int | float):
+            values[TERM_FIELDS[name]] = float(value)
+    return Terms(**values)
+
+
+def address_of(field: str, text: str) -> tuple[str, int]:
+    """Return an address; raises ``ValueError`` naming the field."""
+    address = parse_address(text)
+    if isinstance(address, Err):
+        message = f"{field}: {address.err_value}"
+        raise ValueError(message)
+    return address.ok_value
 
 
 def parse_address(text: str) -> Result[tuple[str, int], str]:
--- a/src/sassafraswharf/settings/node_schema.py
+++ b/src/sassafraswharf/settings/node_schema.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from typing import Annotated
+from typing import Final
 from typing import NamedTuple
 from typing import NotRequired
 from typing import TypedDict
@@ -25,12 +26,35 @@
     address: Text
 
 
+class ListenSettings(TypedDict):
+    """Addresses that a process listens on, ``ip:port``; ``None`` if it doesn't."""
+
+    callers: str | None
+    readiness: str | None
+    control: Text
+
+
+class TermsSettings(TypedDict):
+    """Agreed terms; durations are texts such as ``870ms``.
+
+    A term that is ``None`` or left out keeps its default.
+    """
+
+    heartbeat: NotRequired[str | None]
+    drain: NotRequired[str | None]
+    grace: NotRequired[str | None]
+    hold_limit: NotRequired[str | None]
+    retry_ratio: NotRequired[float | None]
+    retry_slack: NotRequired[float | None]
+    retry_window: NotRequired[str | None]
+
+
 class NodeSettings(TypedDict):
     """Settings of one process, as they stand in its file.
 
-    Addresses are ``ip:port``. ``listen`` maps what the process serves to the
-    address that it listens on. ``bounds`` holds the agreed terms; durations are
-    texts such as ``870ms``.
+    ``upstream`` is present beside an upstream, ``data_folder`` on hosts with a
+    disk. ``first_start`` is true when the whole fleet starts for the first time.
+    ``control_seeds`` are addresses, ``ip:port``, of some control hosts.
     """
 
     host: Text
@@ -38,30 +62,42 @@
     region: str
     address: Text
     first_start: bool
-    data_folder: NotRequired[Text]
+    data_folder: NotRequired[Text | None]
     upstream: NotRequired[UpstreamSettings]
     control_seeds: list[str]
     peer_ports: Annotated[list[PortNumber], msgspec.Meta(min_length=2, max_length=2)]
-    listen: dict[str, str]
+    listen: ListenSettings
     metrics_port: NotRequired[PortNumber]
-    heartbeat_interval: str
     tolerated_hosts: Annotated[int, msgspec.Meta(ge=0, le=1_000)]
-    bounds: dict[str, str | int | float | bool]
+    terms: TermsSettings
 
 
 class Terms(NamedTuple):
-    """The agreed terms that decisions use; times are in seconds."""
+    """The agreed terms that decisions use; times are in seconds.
+
+    ``heartbeat_s`` is the period of heartbeats, ``drain_s`` how long a leaving
+    upstream takes requests, ``grace_s`` the time between SIGTERM and SIGKILL and
+    ``hold_limit_s`` the longest hold. Repeats are bounded by ``retry_ratio`` of
+    the requests of ``retry_window_s`` and ``retry_slack``, for the whole fleet.
+    """
 
     heartbeat_s: float = 1.0
     drain_s: float = 2.0
     grace_s: float = 6.0
-    configuration_s: float = 2.0
     hold_limit_s: float = 10.0
     retry_ratio: float = 0.2
     retry_slack: float = 0.0
     retry_window_s: float = 10.0
 
 
+class Listen(NamedTuple):
+    """Addresses and ports; ``None`` for what the process does not serve."""
+
+    callers: tuple[str, int] | None
+    readiness: tuple[str, int] | None
+    control: tuple[str, int]
+
+
 class Node(NamedTuple):
     """Checked settings; ``seeds`` are ``(ip, port)`` of control hosts."""
 
@@ -75,7 +111,19 @@
     seeds: tuple[tuple[str, int], ...]
     first_peer_port: int
     last_peer_port: int
-    listen: dict[str, tuple[str, int]]
+    listen: Listen
     metrics_port: int
     tolerated_hosts: int
     terms: Terms
+
+
+TERM_FIELDS: Final = {
+    "heartbeat": "heartbeat_s",
+    "drain": "drain_s",
+    "grace": "grace_s",
+    "hold_limit": "hold_limit_s",
+    "retry_ratio": "retry_ratio",
+    "retry_slack": "retry_slack",
+    "retry_window": "retry_window_s",
+}
+"""Fields of ``TermsSettings`` and what they are in ``Terms``."""
