Stop a router only after a quiet period

A connection that is accepted right before the stop has no request yet: aiohttp closes only what waits, the wait for active requests ends at once, and the request that arrives a round trip later is cut. A stopping server now keeps its connections until no request has come for 0.25 s, and the linger is 2.6 s again. Checked on the old way of stopping: the new test fails for a caller that connects and then sends.

--- a/src/sassafraswharf/gateway/router_node.py
+++ b/src/sassafraswharf/gateway/router_node.py
@@ -60,9 +60,9 @@
 MIN_HOLD_S: Final = 2.2
 HEARTBEAT_ANSWER_S: Final = 0.7
 """An upstream takes an answer to a heartbeat for a second."""
-LINGER_S: Final = 2.3
+LINGER_S: Final = 2.6
 """Callers learn within two readiness checks, one a second, that a process stops."""
-FINISH_MARGIN_S: Final = 0.4
+FINISH_MARGIN_S: Final = 0.6
 
 
 class RouterNode:
@@ -172,14 +172,9 @@
         self.link.report_now()
         self.log.record("stopping")
         await asyncio.sleep(min(LINGER_S, self.node.terms.grace_s / 2))
-        await self.callers.stop_accepting()
-        await self.routers.stop_accepting()
         left_s = self.node.terms.grace_s - FINISH_MARGIN_S
-        left_s -= self.clock.now() - began
-        # Callers last: one may have begun while the other routers were waited for.
-        deadline = self.clock.now() + max(left_s, 0.0)
-        for server in (self.routers, self.callers):
-            await server.drain(max(0.0, deadline - self.clock.now()))
+        left_s = max(0.0, left_s - (self.clock.now() - began))
+        await asyncio.gather(self.callers.finish(left_s), self.routers.finish(left_s))
         for task in self.tasks:
             task.cancel()
         await self.link.stop()
--- a/src/sassafraswharf/router/http_server.py
+++ b/src/sassafraswharf/router/http_server.py
@@ -31,6 +31,8 @@
 MAX_LINE_BYTES: Final = 8_190
 BACKLOG: Final = 1_024
 FIRST_SERVER_ERROR: Final = 500
+QUIET_S: Final = 0.25
+"""Time without a new request after which a stopping server closes its connections."""
 POLL_TURNS: Final = 4
 """Turns of the event loop until a connection is accepted, read and handled."""
 MAX_REASON_CHARACTERS: Final = 100
@@ -200,6 +202,28 @@
         await self.read_arrived()
         self.pre_shutdown()
 
+    async def finish(self, timeout_s: float) -> bool:
+        """Stop accepting and answer requests until none comes any more.
+
+        Connections stay open meanwhile: one that was just accepted sends its
+        request only a round trip later, and a busy event loop reads it later
+        still. Returns False if requests were still active after ``timeout_s``.
+        """
+        await self.read_arrived()
+        if self.server is not None:
+            self.server.close()
+        loop = asyncio.get_running_loop()
+        until = loop.time() + timeout_s
+        while (left_s := until - loop.time()) > 0:
+            started = self.requests_count
+            if not await self.drain(left_s):
+                return False
+            await asyncio.sleep(min(QUIET_S, max(0.0, until - loop.time())))
+            if not self.active and self.requests_count == started:
+                break
+        self.pre_shutdown()
+        return not self.active
+
     async def read_arrived(self) -> None:
         """Let the event loop poll its sockets."""
         for _ in range(POLL_TURNS):
--- a/tests/router/test_http_server.py
+++ b/tests/router/test_http_server.py
@@ -22,7 +22,7 @@
     return web.Response(text="whole")
 
 
-async def stop_while_a_request_arrives(is_kept: bool) -> bytes:
+async def stop_while_a_request_arrives(is_kept: bool, finishes: bool) -> bytes:
     """Return what a caller gets whose request arrived while the loop was busy."""
     server = HttpServer(
         answer, max_body_bytes=1024, max_header_bytes=8192, header_timeout_s=5.0
@@ -49,19 +49,52 @@
     await asyncio.to_thread(connected.wait, 5)
     go.set()
     time.sleep(BUSY_S)  # noqa: ASYNC251 - the loop is to be busy
-    await server.stop_accepting()
-    await server.drain(5)
+    if finishes:
+        await server.finish(5)
+    else:
+        await server.stop_accepting()
+        await server.drain(5)
     await server.stop()
     await asyncio.to_thread(thread.join, 5)
     return bytes(received)
 
 
+@pytest.mark.parametrize("finishes", [True, False])
 @pytest.mark.parametrize("is_kept", [True, False])
-def test_a_request_that_arrived_unread_is_answered(is_kept: bool) -> None:
+def test_a_request_that_arrived_unread_is_answered(
+    is_kept: bool, finishes: bool
+) -> None:
     """Guards against a stop that closes a connection with an unread request.
 
     Found by a replay: strapworks-cairo, hunt-73b1-7, requests sent 0.35 s before
     a busy router closed their connections.
     """
-    received = asyncio.run(stop_while_a_request_arrives(is_kept))
+    received = asyncio.run(stop_while_a_request_arrives(is_kept, finishes))
+    assert received.endswith(b"whole")
+
+
+async def finish_while_a_caller_connects(pause_s: float) -> bytes:
+    """Return what a caller gets that connects, pauses, and sends its request."""
+    server = HttpServer(
+        answer, max_body_bytes=1024, max_header_bytes=8192, header_timeout_s=5.0
+    )
+    port = await server.start("127.0.0.1", 0)
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    finishing = asyncio.create_task(server.finish(5))
+    await asyncio.sleep(pause_s)
+    writer.write(REQUEST)
+    received = await reader.read(65_536)
+    await finishing
+    await server.stop()
+    writer.close()
+    return received
+
+
+@pytest.mark.parametrize("pause_s", [0.0, 0.01, 0.1])
+def test_a_caller_that_has_just_connected_is_answered(pause_s: float) -> None:
+    """Guards against a stop between the connection and the request on it.
+
+    Found by a hunt: strapworks-cairo, trouble-3 --seed 961102410245.
+    """
+    received = asyncio.run(finish_while_a_caller_connects(pause_s))
     assert received.endswith(b"whole")
