Remember a drain over restarts, serve at once after them

Found by reading: a router that restarts while its upstream drains took the next heartbeat for the beginning of the drain and served 1.3 s longer; one whose upstream had left without draining took it for ready. A drain is now kept in the replicated table, a first heartbeat that drains opens nothing, and a router reports no upstream before it has the table.

--- a/src/sassafraswharf/fleet/coordinator.py
+++ b/src/sassafraswharf/fleet/coordinator.py
@@ -35,6 +35,9 @@
 """An upstream without heartbeats that holds nothing is removed after this time."""
 FIRST_RATE = 10.0
 """Requests a second that a slot is taken to serve before any were measured."""
+RESTART_BUSY_SHARE = 0.75
+"""Busy share of the other upstreams up to which they take the keys of one whose
+router restarts."""
 MIN_SPEED = 0.3
 MAX_SPEED = 3.0
 
@@ -123,7 +126,7 @@
         self, table: FleetTable, keyed: Iterable[str], now: float
     ) -> FleetChange | None:
         """Return the next change to commit, ``None`` if there is nothing to do."""
-        reports = self._reports(now)
+        reports = self._reports(table, now)
         joined = [
             upstream
             for instance, upstream in reports.items()
@@ -140,8 +143,12 @@
         ]
         return FleetChange((), (), tuple(changed), "keys") if changed else None
 
-    def _reports(self, now: float) -> dict[Instance, Upstream]:
-        """Return the upstreams that routers report as present."""
+    def _reports(self, table: FleetTable, now: float) -> dict[Instance, Upstream]:
+        """Return the upstreams that routers report as present.
+
+        One that drains goes on draining, also if its router was restarted and
+        has not heard of it.
+        """
         found: dict[Instance, Upstream] = {}
         for session in self.live_sessions(now):
             request, report = session.request, session.request.upstream
@@ -149,6 +156,7 @@
                 continue
             if report.silent_s > FORGET_SILENT_S and not report.held:
                 continue
+            known = table.upstreams.get(report.instance)
             found[report.instance] = Upstream(
                 report.instance,
                 report.service,
@@ -156,7 +164,8 @@
                 request.address,
                 request.zone,
                 report.slots,
-                report.draining,
+                report.draining or (known is not None and known.draining),
+                report.restarting,
             )
         return found
 
@@ -215,8 +224,7 @@
         placement = KeyPlacement(settled, self._candidates(upstreams, now), weights)
         changed = settled != rows
         changed |= placement.place_free()
-        leaving = {one.instance for one in upstreams if one.draining}
-        changed |= placement.evacuate(leaving)
+        changed |= placement.evacuate(self._leaving(upstreams, placement))
         if now - self.rebalanced_at.get(service, 0.0) > REBALANCE_S:
             owning = {row.owner for row in placement.rows}
             if placement.welcome(owning) or placement.relieve():
@@ -227,6 +235,20 @@
         self.busy_shares[service] = placement.busy_shares()
         return placement.result()
 
+    def _leaving(
+        self, upstreams: list[Upstream], placement: KeyPlacement
+    ) -> set[Instance]:
+        """Return the upstreams whose keys are to move.
+
+        The keys of an upstream whose router restarts move only if the others have
+        room for them. Otherwise waiting for the restart costs less than the queues
+        of the others.
+        """
+        leaving = {one.instance for one in upstreams if one.draining}
+        if placement.whole_busy_share() < RESTART_BUSY_SHARE:
+            leaving |= {one.instance for one in upstreams if one.restarting}
+        return leaving
+
     def _settle(self, row: KeyRow, table: FleetTable) -> KeyRow:
         """Complete a move whose owner has released the keys."""
         if not row.is_moving:
@@ -242,7 +264,7 @@
         if token is None:
             return row
         target = table.upstreams.get(row.target)
-        if target is None or target.draining:
+        if target is None or not target.takes_work:
             return KeyRow(row.first, row.last, NOBODY, 0)
         return KeyRow(row.first, row.last, row.target, 0, token)
 
@@ -274,7 +296,7 @@
             if report is not None:
                 reports[report.instance] = report
         present = [
-            one for one in upstreams if not one.draining and one.instance in reports
+            one for one in upstreams if one.takes_work and one.instance in reports
         ]
         times = [
             reports[one.instance].service_s
--- a/src/sassafraswharf/fleet/key_placement.py
+++ b/src/sassafraswharf/fleet/key_placement.py
@@ -159,6 +159,12 @@
                 return True
         return False
 
+    def whole_busy_share(self) -> float:
+        """Return the share of all slots that the load of the service keeps at work."""
+        whole = self.weights.between(self.rows[0].first, self.rows[-1].last)
+        capacity = sum(one.capacity for one in self.candidates.values())
+        return self.weights.rate_of(whole) / capacity if capacity else float("inf")
+
     def busy_shares(self) -> dict[str, float]:
         """Return the share of its slots that each candidate's load keeps at work."""
         return {
--- a/src/sassafraswharf/fleet/sync.py
+++ b/src/sassafraswharf/fleet/sync.py
@@ -43,7 +43,8 @@
     ``is_complete`` says that ``held`` names everything that the upstream can
     still hold; a router that has just started can't know it. ``silent_s`` is the
     time since its last heartbeat. ``busy_slots`` is the mean number of requests
-    at work, ``service_s`` the mean time that one takes.
+    at work, ``service_s`` the mean time that one takes. ``restarting`` says that
+    the router is being stopped, while the upstream goes on.
     """
 
     instance: Instance
@@ -58,6 +59,7 @@
     service_s: float = 0.0
     requests: float = 0.0
     key_loads: tuple[KeyLoad, ...] = ()
+    restarting: bool = False
 
 
 class SyncRequest(NamedTuple):
--- a/src/sassafraswharf/fleet/values.py
+++ b/src/sassafraswharf/fleet/values.py
@@ -28,7 +28,8 @@
     """An upstream that serves requests through the router beside it.
 
     ``router`` is the IP address of that router. ``slots`` is the number of
-    requests that it runs at a time.
+    requests that it runs at a time. One that is ``draining`` leaves; the router of
+    one that is ``restarting`` is stopped and will be back in a moment.
     """
 
     instance: Instance
@@ -38,6 +39,12 @@
     zone: str
     slots: int
     draining: bool
+    restarting: bool = False
+
+    @property
+    def takes_work(self) -> bool:
+        """Return whether new work and keys may be given to the upstream."""
+        return not self.draining and not self.restarting
 
 
 class KeyRow(NamedTuple):
--- a/src/sassafraswharf/gateway/control_link.py
+++ b/src/sassafraswharf/gateway/control_link.py
@@ -66,6 +66,7 @@
         self.urgent = asyncio.Event()
         self.tasks: list[asyncio.Task[None]] = []
         self.connected = False
+        self.has_table = False
 
     def start(self) -> None:
         """Start to report."""
@@ -167,6 +168,7 @@
             self.log.record("control_found", leader=address)
         self.view.take_plan(reply.plan)
         self.view.take_fleet(reply.fleet)
+        self.has_table = True
         # After a suspension the clock has gone on, so an old reply gives nothing.
         self.lease_until = max(self.lease_until, sent_at + reply.lease_s)
         return True
--- a/src/sassafraswharf/gateway/local_upstream.py
+++ b/src/sassafraswharf/gateway/local_upstream.py
@@ -18,6 +18,7 @@
 from sassafraswharf.gateway.admission_queue import AdmissionQueue
 from sassafraswharf.gateway.connection_pool import IDLE_LIMIT_S
 from sassafraswharf.gateway.connection_pool import ConnectionPool
+from sassafraswharf.gateway.heartbeat import Heartbeat
 from sassafraswharf.gateway.message_text import read_body
 from sassafraswharf.gateway.message_text import request_head
 from sassafraswharf.gateway.message_text import response_headers
@@ -31,7 +32,7 @@
 
     from sassafraswharf.clock import Clock
     from sassafraswharf.fleet.values import Instance
-    from sassafraswharf.gateway.heartbeat import Heartbeat
+    from sassafraswharf.fleet.values import Upstream
     from sassafraswharf.gateway.http_connection import HttpConnection
     from sassafraswharf.gateway.http_connection import ResponseHead
     from sassafraswharf.gateway.key_holds import KeyHolds
@@ -48,6 +49,8 @@
 MISDIRECTED: Final = 421
 PROMISING_STATUSES: Final = frozenset({408, 421, 429, 503})
 """Statuses that tell a caller that the request has not run."""
+ADOPTED_SEQUENCE: Final = -1
+"""Before that of any heartbeat."""
 KEY_WAIT_SHARE: Final = 0.35
 """Share of the time left for which a request waits for a key that is on its way."""
 MAX_KEY_LOADS: Final = 400
@@ -122,11 +125,29 @@
         if not beat.draining:
             self.draining_at = 0.0
         elif not self.draining_at:
-            self.draining_at = now
+            # A process that has never heard the upstream serve may have restarted
+            # after its predecessor acknowledged the drain.
+            is_first = known is None or known.sequence == ADOPTED_SEQUENCE
+            self.draining_at = now - self.drain_s if is_first else now
         if self.queue.limit != max(beat.slots, 1):
             self.queue.limit = max(beat.slots, 1)
             self.start_waiting()
 
+    def adopt(self, upstream: Upstream, now: float) -> None:
+        """Take an upstream as the fleet knows it, until its first heartbeat."""
+        self.on_heartbeat(
+            Heartbeat(
+                upstream.instance,
+                upstream.service,
+                self.pool.address,
+                upstream.slots,
+                upstream.draining,
+                0.0,
+                ADOPTED_SEQUENCE,
+            ),
+            now,
+        )
+
     def on_leave(self, instance: Instance, now: float) -> None:
         """Stop new work for an upstream that is leaving.
 
@@ -142,6 +163,20 @@
         self.beat = beat._replace(draining=True)
         self.draining_at = self.draining_at or now
 
+    @property
+    def is_adopted(self) -> bool:
+        """Return whether no heartbeat has come since the router started."""
+        return self.beat is not None and self.beat.sequence == ADOPTED_SEQUENCE
+
+    def on_fleet_drain(self, instance: Instance, now: float) -> None:
+        """Take the fleet's word that the upstream drains, since an unknown time."""
+        beat = self.beat
+        if beat is None or beat.instance != instance or self.draining_at:
+            return
+        self.left = instance
+        self.beat = beat._replace(draining=True)
+        self.draining_at = now - self.drain_s
+
     def is_open(self, now: float) -> bool:
         """Return whether new requests may be sent to the upstream.
 
@@ -198,6 +233,8 @@
         now = self.clock.now()
         until = now + KEY_WAIT_SHARE * (work.terms.deadline_at - now)
         while not self.holds.holds_key(key, now):
+            if self.is_adopted and self.owns(work.service, key, instance):
+                return True
             if not self.owns(work.service, key, instance) or now >= until:
                 return False
             await self.holds.changed.wait(until - now)
--- a/src/sassafraswharf/gateway/router_node.py
+++ b/src/sassafraswharf/gateway/router_node.py
@@ -202,6 +202,7 @@
         while True:
             await self.view.changed.wait(1.0)
             upstreams = self.view.fleet.upstreams
+            self.follow_upstream()
             self.choice.keep_only(set(upstreams))
             self.hops.keep_only({one.router for one in upstreams.values()})
             routers = self.count_routers()
@@ -210,6 +211,28 @@
 
     # The upstream of this host.
 
+    def follow_upstream(self) -> None:
+        """Take what the fleet knows of the upstream of this host.
+
+        After a restart of the router the upstream goes on and still holds its keys,
+        so it is served before its next heartbeat: it refuses what it doesn't hold.
+        The fleet also remembers that it drains, which an earlier process may have
+        acknowledged.
+        """
+        local = self.local
+        if local is None:
+            return
+        upstreams = self.view.fleet.upstreams
+        now = self.clock.now()
+        if local.beat is not None:
+            known = upstreams.get(local.beat.instance)
+            if known is not None and known.draining:
+                local.on_fleet_drain(known.instance, now)
+        elif not local.ended:
+            here = [one for one in upstreams.values() if one.host == self.node.host]
+            for upstream in here[:1]:
+                local.adopt(upstream, now)
+
     def is_owner(self, service: str, key: int, instance: Instance) -> bool:
         """Return whether the fleet assigns a key to an upstream."""
         row = self.view.fleet.row_of(service, key)
@@ -308,10 +331,15 @@
             self.view.plan.version,
             self.view.fleet.version,
             hold_s,
-            self.report_upstream(local) if local else None,
+            self.report_upstream(local) if local and self.knows_fleet else None,
             tuple(local.ended) if local else (),
         )
 
+    @property
+    def knows_fleet(self) -> bool:
+        """Return whether the router has a table, and with it what drains."""
+        return self.link.has_table
+
     def report_upstream(self, local: LocalUpstream) -> UpstreamReport | None:
         """Return what is known of the upstream of this host."""
         beat = local.beat
@@ -323,7 +351,7 @@
             beat.instance,
             beat.service,
             beat.slots,
-            beat.draining or self.stopping,
+            beat.draining,
             now - local.beat_at,
             self.holds.held(now),
             self.holds.released_rows(),
@@ -332,6 +360,7 @@
             local.queue.service_s,
             rate,
             loads,
+            self.stopping,
         )
 
     # Other routers.
--- a/src/sassafraswharf/gateway/upstream_choice.py
+++ b/src/sassafraswharf/gateway/upstream_choice.py
@@ -86,8 +86,9 @@
         self, candidates: Sequence[Upstream], tried: set[Instance], now: float
     ) -> Upstream | None:
         """Return an upstream that was not tried, ``None`` if there is none."""
-        open_ones = [
-            one for one in candidates if not one.draining and one.instance not in tried
+        untried = [one for one in candidates if one.instance not in tried]
+        open_ones = [one for one in untried if one.takes_work] or [
+            one for one in untried if one.restarting and not one.draining
         ]
         if not open_ones:
             return None
--- a/tests/fleet/test_coordinator.py
+++ b/tests/fleet/test_coordinator.py
@@ -36,6 +36,7 @@
         self.held: dict[str, tuple[HeldRow, ...]] = {}
         self.released: dict[str, tuple[ReleasedRow, ...]] = {}
         self.draining: set[str] = set()
+        self.restarting: set[str] = set()
         self.ended: dict[str, tuple[Instance, ...]] = {}
         self.silent: set[str] = set()
         self.loads: tuple[KeyLoad, ...] = ()
@@ -54,6 +55,7 @@
             True,
             service_s=0.06,
             key_loads=self.loads,
+            restarting=name in self.restarting,
         )
         request = SyncRequest(
             name,
@@ -271,3 +273,31 @@
     fleet.report("a")
     fleet.step()
     assert "i-a" not in fleet.owners()
+
+
+@pytest.mark.parametrize(("requests", "moves"), [(1, True), (40, False)])
+def test_keys_of_a_restarting_router_move_only_into_free_room(
+    requests: int, moves: bool
+) -> None:
+    """Guards against a restart that overloads the upstreams that are left."""
+    fleet = started()
+    fleet.loads = tuple(KeyLoad(key, requests) for key in range(0, KEY_COUNT, 9_000))
+    for _ in range(5):
+        fleet.step()
+    fleet.loads = ()
+    fleet.restarting.add("a")
+    fleet.step()
+    evacuated = [
+        row for row in fleet.rows() if row.owner.name == "i-a" and row.is_moving
+    ]
+    assert bool(evacuated) is moves
+
+
+def test_an_upstream_that_drains_never_stops_to_drain() -> None:
+    """Guards against a restarted router that reports a leaving upstream as ready."""
+    fleet = started()
+    fleet.draining.add("a")
+    fleet.step()
+    fleet.draining.clear()
+    fleet.step()
+    assert fleet.table.upstreams[fleet.instances["a"]].draining
