Split reading, responding and forwarded requests out of the two long modules

RequestReader, HopServer and responses.py hold one job each. Behaviour is the same but for one case: a request whose time ends before any upstream was asked is refused as not run (503) instead of answered 504, which is what happened to it.

--- /dev/null
+++ b/src/sassafraswharf/gateway/request_reader.py
@@ -0,0 +1,133 @@
+"""Reads what callers send into requests for upstreams."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Final
+from typing import NamedTuple
+
+from sassafraswharf.codes import ResultCode
+from sassafraswharf.gateway.message_text import as_chunks
+from sassafraswharf.gateway.message_text import read_body
+from sassafraswharf.gateway.work import Rejection
+from sassafraswharf.gateway.work import Terms
+from sassafraswharf.gateway.work import Work
+from sassafraswharf.router.headers import end_to_end
+from sassafraswharf.routing.traffic_split import TrafficSplit
+
+
+if TYPE_CHECKING:
+    from aiohttp import web
+
+    from sassafraswharf.gateway.fleet_view import FleetView
+    from sassafraswharf.gateway.work import HeaderNames
+    from sassafraswharf.routing.values import Route
+
+
+NO_CONFIGURATION_RETRY_S: Final = 0.1
+MAX_CALLER_DEADLINE_S: Final = 600.0
+
+
+class Target(NamedTuple):
+    """The route of a request and the service that it goes to."""
+
+    route: Route
+    service: str
+
+
+class RequestReader:
+    """Finds the route of a request and reads its key, terms and body.
+
+    ``origin`` is the service of the host on which the callers are.
+    """
+
+    def __init__(
+        self, origin: str, names: HeaderNames, view: FleetView, offset: float
+    ) -> None:
+        """Read for callers of a host; ``offset`` shifts the split of routes."""
+        self.origin = origin
+        self.names = names
+        self.view = view
+        self.split = TrafficSplit(offset)
+        self.full_deadlines: dict[str, float] = {}
+        self.excluded = frozenset(
+            name.lower() for name in (names.deadline_ms, names.instance, names.origin)
+        )
+
+    def find_target(self, request: web.BaseRequest) -> Target | Rejection:
+        """Return the route and service of a request, or why there is none."""
+        table = self.view.routes
+        if table is None:
+            message = "no configuration is known yet"
+            code = ResultCode.CONFIGURATION_UNAVAILABLE
+            return Rejection(code, message, True, False, NO_CONFIGURATION_RETRY_S)
+        host = request.headers.get("Host", "").partition(":")[0]
+        path = request.raw_path.partition("?")[0]
+        route = table.find(host, path)
+        if route is None:
+            message = f"no route for {host} in version {table.version}"
+            return Rejection(ResultCode.UNKNOWN_SERVICE, message, True)
+        return Target(route, self.split.choose(route))
+
+    async def read_work(
+        self, request: web.BaseRequest, request_id: str, target: Target, now: float
+    ) -> Work | Rejection:
+        """Return a request with its body, or why it is refused."""
+        route = target.route
+        limit = self.view.plan.plan.limits.max_body_bytes
+        if (request.content_length or 0) > limit:
+            message = f"the body exceeds {limit} bytes"
+            return Rejection(ResultCode.BODY_TOO_LARGE, message, True)
+        key = self.key_of(request, target.service)
+        if isinstance(key, Rejection):
+            return key
+        body, rest = await read_body(request.content)
+        return Work(
+            request_id,
+            request.method,
+            request.raw_path,
+            tuple(
+                field
+                for field in end_to_end(request.headers.items())
+                if field[0].lower() not in self.excluded
+            ),
+            body if rest is None else b"",
+            None if rest is None else as_chunks(body, rest),
+            target.service,
+            self.origin,
+            key,
+            route.repeatable,
+            self.terms_of(request, route, now),
+        )
+
+    def key_of(self, request: web.BaseRequest, service: str) -> int | Rejection | None:
+        """Return the key of a request to a service that is divided by key."""
+        routes = self.view.routes
+        declared = routes.services.get(service) if routes else None
+        if declared is None or not declared.is_keyed:
+            return None
+        text = request.headers.get(self.names.key, "")
+        if not text.isdecimal():
+            return Rejection(ResultCode.KEY_MISSING, "the key is missing", True)
+        return int(text)
+
+    def terms_of(self, request: web.BaseRequest, route: Route, now: float) -> Terms:
+        """Return deadline, goal and rank of a request.
+
+        A caller that comes back has less time left than others of the route, from
+        which the time that has passed since its first attempt is known.
+        """
+        text = request.headers.get(self.names.deadline_ms, "")
+        deadline_s = min(
+            float(text) / 1000 if text.isdecimal() else route.timeout_s,
+            MAX_CALLER_DEADLINE_S,
+        )
+        full_s = max(self.full_deadlines.get(route.name, 0.0), deadline_s)
+        self.full_deadlines[route.name] = full_s
+        goal_s = route.goal_s - (full_s - deadline_s)
+        return Terms(
+            route.priority,
+            goal_s <= 0,
+            now + goal_s,
+            now + min(deadline_s, route.timeout_s),
+        )
--- /dev/null
+++ b/src/sassafraswharf/gateway/responses.py
@@ -0,0 +1,84 @@
+"""HTTP responses to callers and to other routers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Final
+
+from aiohttp import web
+from multidict import CIMultiDict
+
+from sassafraswharf.codes import ResultCode
+
+
+if TYPE_CHECKING:
+    from sassafraswharf.gateway.work import Answer
+    from sassafraswharf.gateway.work import Rejection
+
+
+STATUS_OF: Final = {
+    ResultCode.BAD_REQUEST: 400,
+    ResultCode.KEY_MISSING: 400,
+    ResultCode.UNKNOWN_SERVICE: 404,
+    ResultCode.BODY_TOO_LARGE: 413,
+    ResultCode.UPSTREAM_TIMEOUT: 504,
+}
+NOT_RUN_STATUS: Final = 503
+UNKNOWN_STATUS: Final = 502
+REFUSED_RETRY_S: Final = 0.1
+"""Time after which a caller may come back when no better one is known."""
+
+
+async def pass_on(
+    request: web.BaseRequest,
+    answer: Answer,
+    added: dict[str, str],
+    *,
+    close: bool,
+) -> web.StreamResponse:
+    """Return an upstream's answer as it is, with headers ``added``.
+
+    A long answer that breaks off ends with a reset of the connection, so that
+    its receiver doesn't take a part for the whole; the error is raised.
+    """
+    headers = CIMultiDict(answer.headers)
+    headers.update(added)
+    if answer.rest is None:
+        response = web.Response(status=answer.status, headers=headers, body=answer.body)
+        if close:
+            response.force_close()
+        return response
+    stream = web.StreamResponse(status=answer.status, headers=headers)
+    if close:
+        stream.force_close()
+    await stream.prepare(request)
+    try:
+        await stream.write(answer.body)
+        async for part in answer.rest:
+            await stream.write(part)
+    except Exception:
+        if request.transport is not None:
+            request.transport.abort()
+        raise
+    await stream.write_eof()
+    return stream
+
+
+def refuse(
+    rejection: Rejection, route: str, echoed: dict[str, str], *, close: bool
+) -> web.Response:
+    """Tell a caller why there is no answer, and when to come back.
+
+    ``echoed`` are headers of the request that its answer repeats.
+    """
+    default = NOT_RUN_STATUS if rejection.not_run else UNKNOWN_STATUS
+    status = STATUS_OF.get(rejection.code, default)
+    headers = dict(echoed)
+    if status == NOT_RUN_STATUS:
+        wait_s = rejection.retry_after_s or REFUSED_RETRY_S
+        headers["Retry-After"] = f"{wait_s:.3f}"
+    text = f"{int(rejection.code)} {route}: {rejection.message}\n"
+    response = web.Response(status=status, headers=headers, text=text)
+    if close:
+        response.force_close()
+    return response
--- a/src/sassafraswharf/gateway/router_node.py
+++ b/src/sassafraswharf/gateway/router_node.py
@@ -9,48 +9,41 @@
 from typing import TYPE_CHECKING
 from typing import Final
 
-from aiohttp import web
-from multidict import CIMultiDict
-from result import Err
-
-from sassafraswharf.codes import ResultCode
 from sassafraswharf.fleet.coordinator import LeaseTiming
 from sassafraswharf.fleet.sync import SyncRequest
 from sassafraswharf.fleet.sync import UpstreamReport
 from sassafraswharf.gateway.control_link import ControlLink
 from sassafraswharf.gateway.fleet_view import FleetView
 from sassafraswharf.gateway.hop_client import HopClient
-from sassafraswharf.gateway.hop_codec import HOP
-from sassafraswharf.gateway.hop_codec import OUTCOME
-from sassafraswharf.gateway.hop_codec import decode_hop
-from sassafraswharf.gateway.hop_codec import encode_outcome
+from sassafraswharf.gateway.hop_server import HopServer
 from sassafraswharf.gateway.ingress import Ingress
 from sassafraswharf.gateway.key_holds import KeyHolds
 from sassafraswharf.gateway.key_holds import is_newer
 from sassafraswharf.gateway.local_upstream import LocalUpstream
-from sassafraswharf.gateway.message_text import as_chunks
-from sassafraswharf.gateway.message_text import read_body
 from sassafraswharf.gateway.repeat_budget import RepeatBudget
+from sassafraswharf.gateway.request_reader import RequestReader
 from sassafraswharf.gateway.upstream_choice import FleetChoice
-from sassafraswharf.gateway.work import LoadHint
-from sassafraswharf.gateway.work import Rejection
-from sassafraswharf.gateway.work import Work
-from sassafraswharf.router.headers import end_to_end
 from sassafraswharf.router.http_server import HttpServer
 
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from aiohttp import web
+
     from sassafraswharf.clock import Clock
     from sassafraswharf.fleet.values import Instance
     from sassafraswharf.fleet.values import KeyRow
     from sassafraswharf.gateway.heartbeat import Grant
     from sassafraswharf.gateway.heartbeat import Heartbeat
-    from sassafraswharf.gateway.hop_codec import HopTerms
     from sassafraswharf.gateway.work import HeaderNames
     from sassafraswharf.observability.decision_log import DecisionLog
     from sassafraswharf.routing.plan_document import PlanReader
     from sassafraswharf.settings.node_schema import Node
 
+    Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
 
 MAX_BODY_BYTES: Final = 67_108_864
 MAX_HEADER_BYTES: Final = 65_536
@@ -105,9 +98,9 @@
                 node.terms.drain_s,
             )
         service = node.upstream["service"] if node.upstream else ""
+        self.reader = RequestReader(service, names, self.view, self.rng.random())
         self.ingress = Ingress(
-            service,
-            names,
+            self.reader,
             self.view,
             self.choice,
             self.hops,
@@ -115,8 +108,8 @@
             self.make_budget,
             clock,
             log,
-            self.rng.random(),
         )
+        self.hop_server = HopServer(names, self.local, clock, log)
         self.link = ControlLink(
             tuple(ip for ip, _ in node.seeds),
             node.first_peer_port,
@@ -126,14 +119,14 @@
             self.make_report,
         )
         self.callers = self.create_server(self.ingress.handle)
-        self.routers = self.create_server(self.handle_hop)
+        self.routers = self.create_server(self.hop_server.handle)
         self.stopping = False
         self.tasks: list[asyncio.Task[None]] = []
 
-    def create_server(self, handler: object) -> HttpServer:
+    def create_server(self, handler: Handler) -> HttpServer:
         """Return a server with the limits of this process."""
         return HttpServer(
-            handler,  # type: ignore[arg-type]
+            handler,
             max_body_bytes=MAX_BODY_BYTES,
             max_header_bytes=MAX_HEADER_BYTES,
             header_timeout_s=HEADER_TIMEOUT_S,
@@ -168,6 +161,7 @@
         began = self.clock.now()
         self.stopping = True
         self.ingress.closing = True
+        self.hop_server.closing = True
         # The leader moves the keys while they can still be served here.
         self.link.report_now()
         self.log.record("stopping")
@@ -187,7 +181,7 @@
         """Use changed settings: the seeds and the service of the upstream."""
         self.node = node
         self.link.seeds = tuple(ip for ip, _ in node.seeds)
-        self.ingress.origin = node.upstream["service"] if node.upstream else ""
+        self.reader.origin = node.upstream["service"] if node.upstream else ""
 
     def is_ready(self) -> bool:
         """Return whether callers may send requests to this process."""
@@ -362,87 +356,3 @@
             loads,
             self.stopping,
         )
-
-    # Other routers.
-
-    async def handle_hop(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Run a request that another router has forwarded."""
-        now = self.clock.now()
-        hop = decode_hop(request.headers.get(HOP, ""), now)
-        local = self.local
-        if hop is None or local is None:
-            rejection = Rejection(
-                ResultCode.BAD_REQUEST, "not a forwarded request", True
-            )
-            return self.respond_hop(rejection)
-        work = await self.read_forwarded(request, hop)
-        try:
-            async with asyncio.timeout(hop.terms.deadline_at - now):
-                outcome = await local.run(work, hop.instance)
-        except TimeoutError:
-            message = "the deadline passed at the upstream"
-            code = ResultCode.UPSTREAM_TIMEOUT
-            return self.respond_hop(Rejection(code, message, False, True))
-        if isinstance(outcome, Err):
-            self.log.record(
-                "rejected",
-                request=work.request_id,
-                service=work.service,
-                key=work.key,
-                code=int(outcome.err_value.code),
-                why=outcome.err_value.message,
-                not_run=outcome.err_value.not_run,
-                running=local.queue.running,
-                waiting=len(local.queue.waiting),
-            )
-            return self.respond_hop(outcome.err_value)
-        answer = outcome.ok_value
-        headers = CIMultiDict(answer.headers)
-        headers[OUTCOME] = encode_outcome(None, local.hint())
-        if answer.rest is None:
-            response = web.Response(
-                status=answer.status, headers=headers, body=answer.body
-            )
-            return self.close_when_stopping(response)
-        stream = web.StreamResponse(status=answer.status, headers=headers)
-        await stream.prepare(request)
-        try:
-            await stream.write(answer.body)
-            async for part in answer.rest:
-                await stream.write(part)
-        except Exception:
-            if request.transport is not None:
-                request.transport.abort()
-            raise
-        await stream.write_eof()
-        return stream
-
-    async def read_forwarded(self, request: web.BaseRequest, hop: HopTerms) -> Work:
-        """Return a forwarded request with its body."""
-        body, rest = await read_body(request.content)
-        return Work(
-            request.headers.get(self.names.request_id, ""),
-            request.method,
-            request.raw_path,
-            tuple(end_to_end(request.headers.items())),
-            body if rest is None else b"",
-            None if rest is None else as_chunks(body, rest),
-            hop.service,
-            hop.origin,
-            hop.key,
-            hop.repeatable,
-            hop.terms,
-        )
-
-    def respond_hop(self, rejection: Rejection) -> web.Response:
-        """Return a rejection to another router."""
-        hint = self.local.hint() if self.local else LoadHint(0, 0, 1, 0.0)
-        headers = {OUTCOME: encode_outcome(rejection, hint)}
-        response = web.Response(status=503, headers=headers)
-        return self.close_when_stopping(response)
-
-    def close_when_stopping(self, response: web.Response) -> web.Response:
-        """Keep other routers from sending to a process that is about to end."""
-        if self.stopping:
-            response.force_close()
-        return response
