--- a/src/sassafraswharf_bench/provider/endpoint.py
+++ b/src/sassafraswharf_bench/provider/endpoint.py
@@ -86,7 +86,9 @@
 
     async def start(self) -> None:
         """Listen and announce."""
-        self.runner = web.ServerRunner(web.Server(self.handle))
+        self.runner = web.ServerRunner(
+            web.Server(self.handle, handler_cancellation=True)
+        )
         await self.runner.setup()
         await web.TCPSite(self.runner, *self.address).start()
         self.session = aiohttp.ClientSession(
--- /dev/null
+++ b/tests/gateway/test_upstream_choice.py
@@ -0,0 +1,94 @@
+"""Where work goes: loads, slow and failing upstreams, zones and restarts."""
+
+from __future__ import annotations
+
+import random
+
+from collections import Counter
+
+import pytest
+
+from sassafraswharf.fleet.values import Instance
+from sassafraswharf.fleet.values import Upstream
+from sassafraswharf.gateway.upstream_choice import FleetChoice
+from sassafraswharf.gateway.work import LoadHint
+
+
+def upstream(name: str, zone: str = "a", **fields: bool) -> Upstream:
+    return Upstream(
+        Instance(name, 1), "s", f"h-{name}", f"ip-{name}", zone, 10, False
+    )._replace(**fields)
+
+
+def count(choice: FleetChoice, candidates: list[Upstream], now: float) -> Counter[str]:
+    chosen: Counter[str] = Counter()
+    for _ in range(200):
+        one = choice.choose(candidates, set(), now)
+        assert one is not None
+        chosen[one.instance.name] += 1
+    return chosen
+
+
+def make(*hints: tuple[str, LoadHint]) -> FleetChoice:
+    choice = FleetChoice("a", random.Random(7))
+    for name, hint in hints:
+        choice.record_of(upstream(name))
+        choice.on_hint(Instance(name, 1), hint, 10.0)
+    return choice
+
+
+@pytest.mark.parametrize(
+    ("first", "second"),
+    [
+        (LoadHint(1, 0, 10, 0.05), LoadHint(1, 0, 10, 0.25)),
+        (LoadHint(2, 0, 10, 0.05), LoadHint(10, 9, 10, 0.05)),
+    ],
+)
+def test_the_faster_and_the_idler_are_preferred(
+    first: LoadHint, second: LoadHint
+) -> None:
+    """Guards against slow or full upstreams that get as much (`srv_slow`)."""
+    choice = make(("x", first), ("y", second))
+    chosen = count(choice, [upstream("x"), upstream("y")], 10.1)
+    assert chosen["x"] > chosen["y"]
+
+
+def test_a_failing_upstream_is_set_aside_and_tried_again() -> None:
+    """Guards against a failing upstream that keeps its share (`srv_grey`)."""
+    choice = make(("x", LoadHint(0, 0, 10, 0.05)), ("y", LoadHint(0, 0, 10, 0.05)))
+    both = [upstream("x"), upstream("y")]
+    choice.on_failure(Instance("x", 1), 10.0)
+    assert set(count(choice, both, 10.1)) == {"y"}
+    choice.on_success(Instance("x", 1))
+    choice.on_failure(Instance("y", 1), 12.0)
+    assert set(count(choice, both, 12.1)) == {"x"}
+
+
+def test_the_own_zone_is_preferred_while_equal() -> None:
+    """Guards against bytes between zones that nobody needs."""
+    choice = make(("x", LoadHint(1, 0, 10, 0.05)), ("y", LoadHint(1, 0, 10, 0.05)))
+    chosen = count(choice, [upstream("x", "b"), upstream("y", "a")], 10.1)
+    assert set(chosen) == {"y"}
+
+
+@pytest.mark.parametrize(
+    ("others", "expected"),
+    [
+        ([upstream("y")], {"y"}),
+        ([upstream("y", restarting=True)], {"x", "y"}),
+        ([upstream("y", draining=True)], {"x"}),
+    ],
+)
+def test_a_restarting_upstream_is_the_last_resort(
+    others: list[Upstream], expected: set[str]
+) -> None:
+    """Guards against requests refused while every router of a service restarts."""
+    choice = FleetChoice("a", random.Random(7))
+    candidates = [upstream("x", restarting=True), *others]
+    assert set(count(choice, candidates, 10.0)) <= expected
+
+
+def test_none_is_chosen_twice_for_a_request() -> None:
+    """Guards against a repeat that goes where the first attempt failed."""
+    choice = FleetChoice("a", random.Random(7))
+    assert choice.choose([upstream("x")], {Instance("x", 1)}, 10.0) is None
--- a/tests/provider/test_fleet.py
+++ b/tests/provider/test_fleet.py
@@ -159,3 +159,27 @@
         assert await is_in_force()
 
     play(tmp_path, 16, scenario)
+
+
+def test_a_caller_that_leaves_ends_the_work(tmp_path: Path) -> None:
+    """Guards against upstreams at work for callers who have left (`give_up`)."""
+
+    async def scenario(fleet: Fleet) -> None:
+        for endpoint in fleet.endpoints.values():
+            endpoint.work_s = 120.0
+        caller = fleet.caller("side-0")
+        request = asyncio.create_task(
+            caller.send("POST", "/book/x", HOST, body=b"b", deadline_ms=100_000)
+        )
+
+        async def is_running() -> bool:
+            return any(endpoint.running for endpoint in fleet.endpoints.values())
+
+        async def is_idle() -> bool:
+            return not await is_running()
+
+        await fleet.until(is_running, "the request never ran")
+        request.cancel()
+        await fleet.until(is_idle, "the request was never given up")
+
+    play(tmp_path, 17, scenario)
