--- /dev/null
+++ b/tests/gateway/test_control_link.py
@@ -0,0 +1,112 @@
+"""A router finds the leader from its seeds and keeps its lease honest."""
+
+from __future__ import annotations
+
+import asyncio
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+import msgspec
+import pytest
+
+from aiohttp import web
+
+from sassafraswharf.fleet.sync import REQUEST_DECODER
+from sassafraswharf.fleet.sync import SyncReply
+from sassafraswharf.fleet.sync import SyncRequest
+from sassafraswharf.gateway.control_link import ControlLink
+from sassafraswharf.gateway.fleet_view import FleetView
+from sassafraswharf.observability.decision_log import DecisionLog
+from sassafraswharf.platform.documents import DocumentReader
+from sassafraswharf.router.http_server import HttpServer
+
+
+Answer = Callable[[SyncRequest], Awaitable[SyncReply | None]]
+LEADER = "127.21.0.3"
+OTHER = "127.21.0.4"
+DARK = "127.21.0.5"
+
+
+class StoppedClock:
+    """A clock that tests move."""
+
+    def __init__(self) -> None:
+        self.time = 100.0
+
+    def now(self) -> float:
+        return self.time
+
+
+async def start(ip: str, port: int, answer: Answer) -> HttpServer:
+    async def handle(request: web.BaseRequest) -> web.Response:
+        reply = await answer(REQUEST_DECODER.decode(await request.read()))
+        if reply is None:
+            return web.Response(status=500)
+        return web.Response(body=msgspec.msgpack.encode(reply))
+
+    server = HttpServer(
+        handle, max_body_bytes=65_536, max_header_bytes=8_192, header_timeout_s=5.0
+    )
+    await server.start(ip, port)
+    return server
+
+
+def make_link(seeds: tuple[str, ...], clock: StoppedClock, port: int) -> ControlLink:
+    log = DecisionLog("h", -1)
+    view = FleetView(DocumentReader(), log)
+
+    def report(hold_s: float, sequence: int) -> SyncRequest:
+        return SyncRequest("h", "ip", "a", 1, sequence, 0, 0, hold_s)
+
+    return ControlLink(seeds, port, view, clock, log, report)
+
+
+@pytest.mark.parametrize("seeds", [(LEADER,), (OTHER,), (DARK, OTHER), (DARK, LEADER)])
+def test_the_leader_is_found_from_any_seed(seeds: tuple[str, ...]) -> None:
+    """Guards against a router that depends on one of its seeds."""
+
+    async def main() -> None:
+        async def lead(_request: SyncRequest) -> SyncReply:
+            return SyncReply(LEADER, (LEADER, OTHER), 4.5)
+
+        async def follow(_request: SyncRequest) -> SyncReply:
+            return SyncReply(LEADER, (LEADER, OTHER), 0.0)
+
+        port = 17_600 + len(seeds) * 10 + seeds.index(seeds[-1])
+        servers = [await start(LEADER, port, lead), await start(OTHER, port, follow)]
+        clock = StoppedClock()
+        link = make_link(seeds, clock, port)
+        link.start()
+        for _ in range(1_000):
+            if link.has_lease(clock.now()):
+                break
+            await asyncio.sleep(0.02)
+        assert link.has_lease(clock.now())
+        assert link.leader == LEADER
+        await link.stop()
+        for server in servers:
+            await server.stop()
+
+    asyncio.run(main())
+
+
+def test_the_lease_counts_from_the_sending_of_the_report() -> None:
+    """Guards against a lease that outlives a suspension of the host."""
+
+    async def main() -> None:
+        clock = StoppedClock()
+
+        async def lead(_request: SyncRequest) -> SyncReply:
+            clock.time += 4.0
+            return SyncReply(LEADER, (LEADER,), 4.5)
+
+        server = await start(LEADER, 17_700, lead)
+        link = make_link((LEADER,), clock, 17_700)
+        _, answered = await link.exchange(None, 0.0)
+        assert answered
+        assert link.lease_until == 104.5
+        assert clock.now() == 104.0
+        await server.stop()
+
+    asyncio.run(main())
--- a/tests/provider/test_fleet.py
+++ b/tests/provider/test_fleet.py
@@ -9,6 +9,7 @@
 
 from typing import TYPE_CHECKING
 
+import aiohttp
 import pytest
 
 from tests.provider.harness import BOOKING
@@ -183,3 +184,20 @@
         await fleet.until(is_idle, "the request was never given up")
 
     play(tmp_path, 17, scenario)
+
+
+def test_metrics_are_served_when_somebody_reads_them(tmp_path: Path) -> None:
+    """Guards against counters that exist in the code and on no page."""
+
+    async def scenario(fleet: Fleet) -> None:
+        async with aiohttp.ClientSession() as session:
+            pages = {}
+            for name in ("side-0", "core-0"):
+                ip = fleet.machines.machine(name).ip
+                async with session.get(f"http://{ip}:9464/metrics") as response:
+                    pages[name] = await response.text()
+        assert 'code="0"' in pages["side-0"]
+        assert "sassafraswharf_request_latency" in pages["side-0"]
+        assert 'what="can_acknowledge"' in pages["core-0"]
+
+    play(tmp_path, 18, scenario)
