--- a/src/sassafraswharf/gateway/work.py
+++ b/src/sassafraswharf/gateway/work.py
@@ -10,7 +10,6 @@
     from collections.abc import AsyncIterator
 
     from sassafraswharf.codes import ResultCode
-    from sassafraswharf.fleet.values import Instance
 
 
 class HeaderNames(NamedTuple):
@@ -95,10 +94,3 @@
     waiting: int
     limit: int
     service_s: float
-
-
-class Placed(NamedTuple):
-    """Where a request is sent: an upstream and the address of its router."""
-
-    instance: Instance
-    router: str
