Tell a dying process from a living one by an answer, not by a connection

Cause: after a lost connection the router asked whether the upstream still accepts connections. The kernel closes the sockets of a process that dies one after the other, the listening one possibly last. With all cores busy the probe came between, was accepted, and the crash went unreported: the next run was not solo and convicted nobody, so a third upstream went down. Seen in the logs of a failing run: three upstreams ended, "refuses connections" was logged for two.

Ruled out: a reservation that outlives the report (crashes were 8 s apart in the failing run), a resend that overtakes the spread (the router of the caller had noted no crash at all), a late event loop (a refused connect on loopback returns without waiting).

The probe is a request now, so test_connections counts its connection among those of the server: as strict as before.

--- a/src/sassafraswharf/router/crash_watch.py
+++ b/src/sassafraswharf/router/crash_watch.py
@@ -18,6 +18,7 @@
 from sassafraswharf.quarantine.local_watch import LocalWatch
 from sassafraswharf.quarantine.local_watch import Treatment
 from sassafraswharf.router.change_signal import ChangeSignal
+from sassafraswharf.router.process_probe import has_ended
 
 
 if TYPE_CHECKING:
@@ -185,11 +186,11 @@
     async def examine(self, runner: UpstreamRunner) -> None:
         """Report the upstream if its process has ended."""
         upstream = runner.upstream
-        reachable = await runner.is_reachable()
-        runner.lost = runner.lost or not reachable
+        ended = await has_ended(upstream.address)
+        runner.lost = runner.lost or ended
         runner.doubtful = False
         self.judged.notify()
-        if not reachable:
+        if ended:
             logging.warning("upstream %s refuses connections", upstream.upstream)
             runner.withdraw()
             await self.report_death(upstream, runner)
@@ -240,6 +241,12 @@
         """
         report = self.watch.upstream_died(upstream.upstream, self.clock.now())
         if report is not None:
+            logging.warning(
+                "upstream %s crashed, alone: %s, at work: %s",
+                upstream.upstream,
+                report.alone,
+                " ".join(digest.hex() for digest in report.digests),
+            )
             await self.commit(
                 ReportCrash(
                     upstream.upstream,
--- /dev/null
+++ b/src/sassafraswharf/router/process_probe.py
@@ -0,0 +1,49 @@
+"""Tells a process that has ended from one that has only closed a connection."""
+
+from __future__ import annotations
+
+import asyncio
+
+from typing import Final
+
+
+CONNECT_S: Final = 0.2
+ANSWER_S: Final = 0.8
+"""Within the time for which a lost request waits for the report of a crash."""
+RECHECK_S: Final = 0.02
+PROBE: Final = b"GET /-/health HTTP/1.1\r\nHost: upstream\r\nConnection: close\r\n\r\n"
+
+
+async def has_ended(address: str) -> bool:
+    """Return whether no process serves ``address`` (``ip:port``) any more.
+
+    The kernel closes the sockets of a process that dies one after the other, the
+    listening one possibly last, so an accepted connection proves nothing until an
+    answer comes over it. One that is closed without an answer is tried again
+    until connections are refused. A process that stays silent for 0.8 s may be
+    frozen and counts as running.
+    """
+    try:
+        async with asyncio.timeout(ANSWER_S):
+            while True:
+                if await _answers(address):
+                    return False
+                await asyncio.sleep(RECHECK_S)
+    except ConnectionRefusedError:
+        return True
+    except (OSError, TimeoutError):
+        return False
+
+
+async def _answers(address: str) -> bool:
+    """Return whether the process answers; raise if it refuses or is unreachable."""
+    host, _, port = address.rpartition(":")
+    async with asyncio.timeout(CONNECT_S):
+        reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        writer.write(PROBE)
+        return bool(await reader.read(1))
+    except ConnectionError:
+        return False
+    finally:
+        writer.close()
--- a/src/sassafraswharf/router/upstream_runner.py
+++ b/src/sassafraswharf/router/upstream_runner.py
@@ -42,7 +42,6 @@
     BeforeDispatch = Callable[[], Awaitable[Answer | None]]
 
 
-CONNECT_PROBE_S: Final = 0.2
 RESERVED_CONNECTIONS: Final = 2
 """Declared connections that requests don't use: one of the pool for grants, drains
 and health probes, and one outside the pool for the connect probe. With a full pool
@@ -351,20 +350,6 @@
         self.resolve_expired()
         self.schedule_expiry()
 
-    async def is_reachable(self) -> bool:
-        """Return whether the upstream accepts a TCP connection."""
-        host, _, port = self.upstream.address.rpartition(":")
-        try:
-            async with asyncio.timeout(CONNECT_PROBE_S):
-                _, writer = await asyncio.open_connection(host, int(port))
-        except ConnectionRefusedError:
-            return False
-        except (OSError, TimeoutError):
-            # A frozen or unreachable process may still be running requests.
-            return True
-        writer.close()
-        return True
-
 
 def expired() -> Answer:
     """Return the refusal for a request whose deadline has passed."""
--- a/tests/router/test_connections.py
+++ b/tests/router/test_connections.py
@@ -19,6 +19,7 @@
 from sassafraswharf.membership.values import UpstreamState
 from sassafraswharf.router.crash_watch import CrashWatch
 from sassafraswharf.router.incoming import RequestIds
+from sassafraswharf.router.process_probe import has_ended
 from sassafraswharf.router.upstream_runner import WARM_CONNECTIONS
 from sassafraswharf.router.upstream_runner import UpstreamRunner
 from sassafraswharf.router.view import RouterView
@@ -105,8 +106,8 @@
         probe = await runner.peer.send("GET", "/-/health", {}, b"", 60.0, 1)
         assert probe.status == 200
         assert not any(request.done() for request in requests)
-        assert await runner.is_reachable()
-        assert len(server.connections) + 1 == connections
+        assert not await has_ended(runner.upstream.address)
+        assert len(server.connections) == connections
         server.go.set()
         await asyncio.gather(*requests)
 
