Refuse requests that crash one upstream after the other on the new path

Cause: a request that crashes each upstream that begins to run it was sent to upstreams again whenever it came back; the quarantine of the first path was not part of gateway/.

The router beside an upstream keeps the requests whose connection was lost since its last answer. When that life of the upstream ends it reports them, and the leader counts the lives by request. A request with three is refused as not run; one that any upstream has answered is harmless for a minute, so a popular lookup that is at work in every crash is never refused. A suspect is not repeated within its request. Reports are repeated for 30 s, so that a new leader has them too.

A lost connection is now followed by one connection attempt 50 ms later, and the end of an upstream is reported at once. Before, it was noticed with the next request, and reported with the next turn.

--- a/src/sassafraswharf/fleet/control_node.py
+++ b/src/sassafraswharf/fleet/control_node.py
@@ -312,7 +312,7 @@
             self.coordinator.timing.lease_s if leads else 0.0,
             tuple(state.plan_since(report.plan_version)) if leads else (),
             tuple(state.fleet_since(report.fleet_version)) if leads else (),
-            report.sequence if leads else 0,
+            self.coordinator.suspects_for(report, self.clock.now()) if leads else None,
         )
 
     async def plan_fleet(self) -> None:
--- a/src/sassafraswharf/fleet/coordinator.py
+++ b/src/sassafraswharf/fleet/coordinator.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from sassafraswharf.fleet.crash_table import CrashTable
+from sassafraswharf.fleet.crash_table import checksum
 from sassafraswharf.fleet.fleet_table import free_rows
 from sassafraswharf.fleet.key_placement import Candidate
 from sassafraswharf.fleet.key_placement import KeyPlacement
@@ -21,6 +23,7 @@
     from collections.abc import Iterable
 
     from sassafraswharf.fleet.fleet_table import FleetTable
+    from sassafraswharf.fleet.sync import Suspect
     from sassafraswharf.fleet.sync import SyncRequest
     from sassafraswharf.fleet.sync import UpstreamReport
 
@@ -94,6 +97,7 @@
         self.rebalanced_at: dict[str, float] = {}
         self.busy_shares: dict[str, dict[str, float]] = {}
         self.evacuates: dict[Instance, bool] = {}
+        self.crashes = CrashTable()
 
     def start_term(self, now: float) -> None:
         """Forget what was heard before; reports of routers arrive anew."""
@@ -101,6 +105,7 @@
         self.ended = set()
         self.weights = {}
         self.announced_at = {}
+        self.crashes = CrashTable()
         self.led_since = now
 
     def on_sync(self, request: SyncRequest, now: float) -> None:
@@ -113,11 +118,20 @@
         session.request = request
         session.heard_at = now
         self.ended.update(request.ended)
+        self.crashes.on_reports(request.crashes, request.harmless, now)
         report = request.upstream
         if report is not None and report.key_loads:
             weights = self.weights.setdefault(report.service, KeyWeights())
             weights.add(report.key_loads)
 
+    def suspects_for(
+        self, request: SyncRequest, now: float
+    ) -> tuple[Suspect, ...] | None:
+        """Return the suspects, ``None`` if the router knows them."""
+        suspects = self.crashes.suspects(now)
+        known = checksum(suspects) == request.suspects_checksum
+        return None if known else suspects
+
     def live_sessions(self, now: float) -> list[Session]:
         """Return the sessions whose leases may be in force."""
         limit = now - self.timing.expiry_s
--- /dev/null
+++ b/src/sassafraswharf/fleet/crash_table.py
@@ -0,0 +1,82 @@
+"""Requests that were at work when upstreams crashed, as the leader counts them."""
+
+from __future__ import annotations
+
+import zlib
+
+from typing import TYPE_CHECKING
+from typing import Final
+
+from sassafraswharf.fleet.sync import Suspect
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from sassafraswharf.fleet.sync import CrashReport
+    from sassafraswharf.fleet.values import Instance
+
+
+SUSPICION_S: Final = 60.0
+"""Without another crash a request is forgotten after this time."""
+MAX_SUSPECTS: Final = 256
+
+
+class CrashTable:
+    """Counts, for each request, the lives of upstreams that ended with it.
+
+    Routers repeat their reports, so a crash counts once for a life. The table is
+    in the leader's memory only: the repeated reports fill that of a new leader.
+    A request that was answered anywhere is no suspect again for a minute. A
+    popular lookup is otherwise at work in each crash and would be refused.
+    """
+
+    def __init__(self) -> None:
+        """Start without suspects."""
+        self.lives: dict[bytes, set[Instance]] = {}
+        self.seen_at: dict[bytes, float] = {}
+        self.harmless: dict[bytes, float] = {}
+
+    def on_reports(
+        self, crashes: Iterable[CrashReport], harmless: Iterable[bytes], now: float
+    ) -> None:
+        """Take the reports of one router."""
+        for digest in harmless:
+            self.harmless[digest] = now
+            self._forget(digest)
+        for instance, digests in crashes:
+            for digest in digests:
+                if digest not in self.harmless:
+                    self._count(digest, instance, now)
+
+    def suspects(self, now: float) -> tuple[Suspect, ...]:
+        """Return the requests that crashed upstreams lately."""
+        limit = now - SUSPICION_S
+        for digest in [one for one, at in self.seen_at.items() if at < limit]:
+            self._forget(digest)
+        self.harmless = {one: at for one, at in self.harmless.items() if at >= limit}
+        return tuple(Suspect(one, len(lives)) for one, lives in self.lives.items())
+
+    def _count(self, digest: bytes, instance: Instance, now: float) -> None:
+        lives = self.lives.setdefault(digest, set())
+        if instance in lives:
+            return
+        lives.add(instance)
+        self.seen_at[digest] = now
+        if len(self.lives) > MAX_SUSPECTS:
+            fewest = min(self.lives, key=lambda one: len(self.lives[one]))
+            self._forget(fewest)
+
+    def _forget(self, digest: bytes) -> None:
+        self.lives.pop(digest, None)
+        self.seen_at.pop(digest, None)
+
+
+def checksum(suspects: Iterable[Suspect]) -> int:
+    """Return a number that tells two lists of suspects apart, 0 for none.
+
+    >>> checksum(())
+    0
+    """
+    text = b"".join(digest + bytes([count & 0xFF]) for digest, count in suspects)
+    return zlib.crc32(text)
--- a/src/sassafraswharf/fleet/sync.py
+++ b/src/sassafraswharf/fleet/sync.py
@@ -62,12 +62,31 @@
     restarting: bool = False
 
 
+class CrashReport(NamedTuple):
+    """A life of an upstream that crashed, and the requests that it ran then."""
+
+    instance: Instance
+    digests: tuple[bytes, ...]
+
+
+class Suspect(NamedTuple):
+    """A request, by its digest, and how many lives of upstreams ended with it."""
+
+    digest: bytes
+    crashes: int
+
+
+CrashReports = tuple[tuple[CrashReport, ...], tuple[bytes, ...]]
+"""The crashes of the upstream, and suspects that were answered all the same."""
+
+
 class SyncRequest(NamedTuple):
     """A router reports, renews its lease and asks for what is newer.
 
     ``boot`` identifies the process. ``ended`` are lives of the upstream that the
     router has seen end. ``hold_s`` is how long the leader may wait for news
-    before it answers.
+    before it answers. ``suspects_checksum`` tells the suspects that the router
+    knows.
     """
 
     host: str
@@ -80,13 +99,17 @@
     hold_s: float
     upstream: UpstreamReport | None = None
     ended: tuple[Instance, ...] = ()
+    crashes: tuple[CrashReport, ...] = ()
+    harmless: tuple[bytes, ...] = ()
+    suspects_checksum: int = 0
 
 
 class SyncReply(NamedTuple):
     """The leader's answer, or the address of a control host that may lead.
 
     ``lease_s`` counts from the moment at which the request was sent; 0 means
-    that there is no lease, because the sender is not the leader.
+    that there is no lease, because the sender is not the leader. ``suspects`` is
+    ``None`` if the router knows them.
     """
 
     leader: str
@@ -94,7 +117,7 @@
     lease_s: float
     plan: tuple[PlanChange, ...] = ()
     fleet: tuple[VersionedFleet, ...] = ()
-    seen_sequence: int = 0
+    suspects: tuple[Suspect, ...] | None = None
 
 
 REQUEST_DECODER = msgspec.msgpack.Decoder(SyncRequest)
--- a/src/sassafraswharf/gateway/connection_pool.py
+++ b/src/sassafraswharf/gateway/connection_pool.py
@@ -47,6 +47,13 @@
             self.address, timeout_s, self.identity_header
         )
 
+    async def probe(self, timeout_s: float = CONNECT_TIMEOUT_S) -> None:
+        """Open one more connection and keep it; raises as ``acquire`` does."""
+        self.opened += 1
+        self.release(
+            await HttpConnection.connect(self.address, timeout_s, self.identity_header)
+        )
+
     def release(
         self, connection: HttpConnection, idle_limit_s: float = IDLE_LIMIT_S
     ) -> None:
--- a/src/sassafraswharf/gateway/control_link.py
+++ b/src/sassafraswharf/gateway/control_link.py
@@ -21,6 +21,7 @@
     from collections.abc import Callable
 
     from sassafraswharf.clock import Clock
+    from sassafraswharf.fleet.sync import Suspect
     from sassafraswharf.fleet.sync import SyncRequest
     from sassafraswharf.gateway.fleet_view import FleetView
     from sassafraswharf.observability.decision_log import DecisionLog
@@ -51,8 +52,12 @@
         clock: Clock,
         log: DecisionLog,
         make_report: Callable[[float, int], SyncRequest],
+        take_suspects: Callable[[tuple[Suspect, ...]], None],
     ) -> None:
-        """Prepare to report; ``make_report`` gets the hold time and a sequence."""
+        """Prepare to report; ``make_report`` gets the hold time and a sequence.
+
+        ``take_suspects`` gets requests that have crashed upstreams.
+        """
         self.seeds = seeds
         self.controls: tuple[str, ...] = seeds
         self.port = port
@@ -60,6 +65,7 @@
         self.clock = clock
         self.log = log
         self.make_report = make_report
+        self.take_suspects = take_suspects
         self.leader = seeds[0] if seeds else ""
         self.lease_until = 0.0
         self.sequence = 0
@@ -168,6 +174,8 @@
             self.log.record("control_found", leader=address)
         self.view.take_plan(reply.plan)
         self.view.take_fleet(reply.fleet)
+        if reply.suspects is not None:
+            self.take_suspects(reply.suspects)
         self.has_table = True
         # After a suspension the clock has gone on, so an old reply gives nothing.
         self.lease_until = max(self.lease_until, sent_at + reply.lease_s)
--- /dev/null
+++ b/src/sassafraswharf/gateway/crash_evidence.py
@@ -0,0 +1,107 @@
+"""Which requests were at work when an upstream crashed."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+from typing import Final
+
+from sassafraswharf.fleet.crash_table import checksum
+from sassafraswharf.fleet.sync import CrashReport
+from sassafraswharf.quarantine.local_watch import request_digest
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from sassafraswharf.fleet.sync import CrashReports
+    from sassafraswharf.fleet.sync import Suspect
+    from sassafraswharf.fleet.values import Instance
+    from sassafraswharf.gateway.work import Work
+
+
+MAX_LOST: Final = 64
+MAX_REPORTS: Final = 32
+MAX_HARMLESS: Final = 256
+REPORTED_S: Final = 30.0
+"""Reports are repeated for this long, so that a new leader gets them too."""
+REFUSED_CRASHES: Final = 3
+"""Crashes after which a request is refused. Two may hit a request by chance, when
+many upstreams of a service crash at once and it is sent again."""
+
+
+class CrashEvidence:
+    """Connects lost requests with crashes, and knows the fleet's suspects.
+
+    A request counts as part of a crash if its connection was lost, the upstream
+    has answered nothing since, and its process has ended. A suspect that any
+    upstream answers is harmless, which is reported as well.
+    """
+
+    def __init__(self) -> None:
+        """Start without crashes."""
+        self.lost: deque[Work] = deque(maxlen=MAX_LOST)
+        self.reports: deque[tuple[float, CrashReport]] = deque(maxlen=MAX_REPORTS)
+        self.harmless: dict[bytes, float] = {}
+        self.suspects: dict[bytes, int] = {}
+        self.checksum = 0
+        self.on_crash: Callable[[Instance, int], None] = lambda *_: None
+
+    # The upstream of this host.
+
+    def on_lost(self, work: Work) -> None:
+        """Note a request whose connection was lost after it was sent."""
+        if work.rest is None:
+            self.lost.append(work)
+
+    def on_answer(self) -> None:
+        """Note that the upstream is alive."""
+        self.lost.clear()
+
+    def on_end(self, instance: Instance, now: float) -> None:
+        """Note that a life of the upstream has ended."""
+        if self.lost:
+            digests = tuple({digest_of(work) for work in self.lost})
+            self.reports.append((now, CrashReport(instance, digests)))
+        self.on_crash(instance, len(self.lost))
+        self.lost.clear()
+
+    # The fleet.
+
+    def take_suspects(self, suspects: Iterable[Suspect]) -> None:
+        """Replace the suspects by those of the leader."""
+        known = tuple(suspects)
+        self.suspects = {one.digest: one.crashes for one in known}
+        self.checksum = checksum(known)
+
+    def crashes_of(self, work: Work) -> int:
+        """Return how many upstreams crashed while they ran a request."""
+        if not self.suspects or work.rest is not None:
+            return 0
+        return self.suspects.get(digest_of(work), 0)
+
+    def is_refused(self, work: Work) -> bool:
+        """Return whether a request must not reach upstreams any more."""
+        return self.crashes_of(work) >= REFUSED_CRASHES
+
+    def on_success(self, work: Work, now: float) -> None:
+        """Note an answer; a suspect that gets one is harmless."""
+        if self.crashes_of(work):
+            self.harmless[digest_of(work)] = now
+            if len(self.harmless) > MAX_HARMLESS:
+                del self.harmless[next(iter(self.harmless))]
+
+    def report(self, now: float) -> CrashReports:
+        """Return the crashes and the harmless requests that count."""
+        limit = now - REPORTED_S
+        while self.reports and self.reports[0][0] < limit:
+            self.reports.popleft()
+        self.harmless = {one: at for one, at in self.harmless.items() if at >= limit}
+        return tuple(one for _, one in self.reports), tuple(self.harmless)
+
+
+def digest_of(work: Work) -> bytes:
+    """Return what a request and its resends at any host have in common."""
+    key = "" if work.key is None else str(work.key)
+    return request_digest(work.method, work.target, key, work.body)
--- a/src/sassafraswharf/gateway/http_connection.py
+++ b/src/sassafraswharf/gateway/http_connection.py
@@ -38,7 +38,6 @@
     status: int
     headers: CIMultiDictProxy[str]
     content: StreamReader
-    has_length: bool
 
 
 class HttpConnection(BaseProtocol):
@@ -206,10 +205,7 @@
         if message.should_close:
             self.condemned = True
         self.content = content
-        has_length = message.chunked or "Content-Length" in message.headers
-        waiter.set_result(
-            ResponseHead(message.code, message.headers, content, has_length)
-        )
+        waiter.set_result(ResponseHead(message.code, message.headers, content))
 
     def fail(self, reason: str) -> None:
         """End the exchange and the connection."""
--- a/src/sassafraswharf/gateway/ingress.py
+++ b/src/sassafraswharf/gateway/ingress.py
@@ -11,6 +11,7 @@
 from result import Ok
 
 from sassafraswharf.codes import ResultCode
+from sassafraswharf.fleet.crash_table import SUSPICION_S
 from sassafraswharf.gateway.responses import REFUSED_RETRY_S
 from sassafraswharf.gateway.responses import pass_on
 from sassafraswharf.gateway.responses import refuse
@@ -26,6 +27,7 @@
     from sassafraswharf.clock import Clock
     from sassafraswharf.fleet.values import Instance
     from sassafraswharf.fleet.values import Upstream
+    from sassafraswharf.gateway.crash_evidence import CrashEvidence
     from sassafraswharf.gateway.fleet_view import FleetView
     from sassafraswharf.gateway.hop_client import HopClient
     from sassafraswharf.gateway.local_upstream import LocalUpstream
@@ -85,6 +87,7 @@
         hops: HopClient,
         local: LocalUpstream | None,
         make_budget: Callable[[], RepeatBudget],
+        crashes: CrashEvidence,
         clock: Clock,
         log: DecisionLog,
     ) -> None:
@@ -96,6 +99,7 @@
         self.hops = hops
         self.local = local
         self.make_budget = make_budget
+        self.crashes = crashes
         self.clock = clock
         self.log = log
         self.budgets: dict[str, RepeatBudget] = {}
@@ -158,6 +162,11 @@
         if budget is None:
             budget = self.budgets[work.service] = self.make_budget()
         budget.on_request(self.clock.now())
+        if self.crashes.is_refused(work):
+            message = "the request crashed upstreams"
+            return Err(
+                Rejection(ResultCode.QUARANTINED, message, True, False, SUSPICION_S)
+            )
         now = self.clock.now()
         progress.wait_until = now + OWNER_WAIT_SHARE * (work.terms.deadline_at - now)
         while True:
@@ -218,6 +227,7 @@
             self.choice.finished(upstream)
         if isinstance(outcome, Ok):
             self.choice.on_success(upstream.instance)
+            self.crashes.on_success(work, self.clock.now())
         elif outcome.err_value.code in UPSTREAM_FAILURES:
             self.choice.on_failure(upstream.instance, self.clock.now())
         return outcome
@@ -244,6 +254,8 @@
         if not rejection.not_run and not work.repeatable:
             return False
         tries = 1 if work.key is not None else OVERFLOW_TRIES
+        if not rejection.not_run and self.crashes.crashes_of(work):
+            return False
         if rejection.code is ResultCode.OVERLOADED and progress.attempts >= tries:
             return False
         if rejection.code is ResultCode.NOT_OWNER:
--- a/src/sassafraswharf/gateway/local_upstream.py
+++ b/src/sassafraswharf/gateway/local_upstream.py
@@ -14,7 +14,6 @@
 
 from sassafraswharf.codes import ResultCode
 from sassafraswharf.exceptions import ExchangeError
-from sassafraswharf.fleet.sync import KeyLoad
 from sassafraswharf.gateway.admission_queue import AdmissionQueue
 from sassafraswharf.gateway.connection_pool import IDLE_LIMIT_S
 from sassafraswharf.gateway.connection_pool import ConnectionPool
@@ -22,6 +21,7 @@
 from sassafraswharf.gateway.message_text import read_body
 from sassafraswharf.gateway.message_text import request_head
 from sassafraswharf.gateway.message_text import response_headers
+from sassafraswharf.gateway.upstream_load import UpstreamLoad
 from sassafraswharf.gateway.work import Answer
 from sassafraswharf.gateway.work import LoadHint
 from sassafraswharf.gateway.work import Rejection
@@ -33,6 +33,7 @@
     from sassafraswharf.clock import Clock
     from sassafraswharf.fleet.values import Instance
     from sassafraswharf.fleet.values import Upstream
+    from sassafraswharf.gateway.crash_evidence import CrashEvidence
     from sassafraswharf.gateway.http_connection import HttpConnection
     from sassafraswharf.gateway.http_connection import ResponseHead
     from sassafraswharf.gateway.key_holds import KeyHolds
@@ -46,6 +47,8 @@
 """Requests stop this much before a draining upstream may refuse them."""
 DOWN_S: Final = 0.3
 """After a refused connection, requests are sent elsewhere for this long."""
+EXAMINE_AFTER_S: Final = 0.05
+"""The kernel closes the listening socket of a process that dies possibly last."""
 MISDIRECTED: Final = 421
 PROMISING_STATUSES: Final = frozenset({408, 421, 429, 503})
 """Statuses that tell a caller that the request has not run."""
@@ -53,8 +56,6 @@
 """Before that of any heartbeat."""
 KEY_WAIT_SHARE: Final = 0.35
 """Share of the time left for which a request waits for a key that is on its way."""
-MAX_KEY_LOADS: Final = 400
-UTILISATION_S: Final = 0.5
 SERVER_ERROR: Final = 500
 
 
@@ -85,6 +86,7 @@
         owns: Callable[[str, int, Instance], bool],
         clock: Clock,
         drain_s: float,
+        crashes: CrashEvidence,
     ) -> None:
         """Prepare to serve the upstream at ``address`` once it was announced.
 
@@ -105,10 +107,9 @@
         self.draining_at = 0.0
         self.down_until = 0.0
         self.ended: set[Instance] = set()
-        self.key_loads: dict[int, int] = {}
-        self.busy_slots = 0.0
-        self.busy_since = clock.now()
-        self.requests = 0
+        self.load = UpstreamLoad(clock)
+        self.crashes = crashes
+        self.examination: asyncio.Task[None] | None = None
 
     # The life of the upstream.
 
@@ -116,7 +117,7 @@
         """Take a newer heartbeat; the end of an earlier life is remembered."""
         known = self.beat
         if known is not None and known.instance != beat.instance:
-            self.ended.add(known.instance)
+            self.on_end(known.instance, now)
         if beat.instance == self.left:
             # It goes on to announce itself as it was until it exits.
             beat = beat._replace(draining=True)
@@ -202,8 +203,7 @@
         if work.key is not None:
             if not await self.wait_for_key(work, instance):
                 return Err(self.refuse(ResultCode.NOT_OWNER, "the key is not held"))
-            if len(self.key_loads) < MAX_KEY_LOADS or work.key in self.key_loads:
-                self.key_loads[work.key] = self.key_loads.get(work.key, 0) + 1
+            self.load.on_key(work.key)
         admitted = Admitted(work)
         if not await self.wait_for_turn(admitted, now):
             wait_s = self.queue.retry_after_s()
@@ -221,7 +221,7 @@
                 service_s = self.clock.now() - started_at
             return outcome
         finally:
-            self.account(started_at)
+            self.load.on_end(started_at)
             self.queue.finish(service_s)
             self.start_waiting()
 
@@ -281,9 +281,12 @@
         try:
             return await self.exchange(connection, work, instance)
         except ExchangeError as error:
+            if error.sent:
+                self.on_lost(work)
             code = ResultCode.OUTCOME_UNKNOWN
             return Err(Rejection(code, error.reason, not error.sent, error.sent))
         except ClientPayloadError:
+            self.on_lost(work)
             code = ResultCode.ANSWER_INCOMPLETE
             return Err(Rejection(code, "the answer was cut short", False, True))
         finally:
@@ -313,6 +316,7 @@
             else connection.receive_while_sending(work.rest)
         )
         body, rest = await read_body(response.content)
+        self.crashes.on_answer()
         if rest is not None:
             connection.handed_over = True
             stream = connection.stream(rest)
@@ -343,6 +347,20 @@
         """Return a rejection of a request that the upstream has not seen."""
         return Rejection(code, message, True, False, retry_after_s)
 
+    def on_lost(self, work: Work) -> None:
+        """Find out whether the upstream has ended after a connection was lost."""
+        self.crashes.on_lost(work)
+        if self.examination is None or self.examination.done():
+            self.examination = asyncio.create_task(self.examine())
+
+    async def examine(self) -> None:
+        """Connect once more, when a process that dies no longer listens."""
+        await asyncio.sleep(EXAMINE_AFTER_S)
+        try:
+            await self.pool.probe()
+        except (OSError, TimeoutError) as error:
+            self.on_unreachable(error)
+
     def on_unreachable(self, error: BaseException) -> None:
         """Note that the process of the upstream has ended, if it has.
 
@@ -351,29 +369,15 @@
         now = self.clock.now()
         self.down_until = now + DOWN_S
         if isinstance(error, ConnectionRefusedError) and self.beat is not None:
-            self.ended.add(self.beat.instance)
+            self.on_end(self.beat.instance, now)
             self.beat = None
 
-    # Measures.
-
-    def account(self, started_at: float) -> None:
-        """Count the slot time of a request that has ended."""
-        self.busy_slots += self.clock.now() - started_at
-        self.requests += 1
+    def on_end(self, instance: Instance, now: float) -> None:
+        """Remember that a life of the upstream has ended."""
+        self.ended.add(instance)
+        self.crashes.on_end(instance, now)
 
-    def take_load(self) -> tuple[float, float, tuple[KeyLoad, ...]]:
-        """Return mean busy slots, requests a second and key loads, and start anew."""
-        now = self.clock.now()
-        elapsed_s = max(now - self.busy_since, 1e-3)
-        busy = self.busy_slots / elapsed_s
-        rate = self.requests / elapsed_s
-        loads = tuple(KeyLoad(*item) for item in self.key_loads.items())
-        if elapsed_s >= UTILISATION_S:
-            self.busy_since = now
-            self.busy_slots = 0.0
-            self.requests = 0
-        self.key_loads = {}
-        return busy, rate, loads
+    # Measures.
 
     def hint(self) -> LoadHint:
         """Return how busy the upstream is now."""
@@ -387,7 +391,7 @@
     >>> from multidict import CIMultiDict, CIMultiDictProxy
     >>> from sassafraswharf.gateway.http_connection import ResponseHead
     >>> fields = CIMultiDictProxy(CIMultiDict({"Keep-Alive": "timeout=5"}))
-    >>> idle_limit_s(ResponseHead(200, fields, None, True))
+    >>> idle_limit_s(ResponseHead(200, fields, None))
     4.0
     """
     for part in response.headers.get("Keep-Alive", "").split(","):
--- a/src/sassafraswharf/gateway/router_node.py
+++ b/src/sassafraswharf/gateway/router_node.py
@@ -13,6 +13,8 @@
 from sassafraswharf.fleet.sync import SyncRequest
 from sassafraswharf.fleet.sync import UpstreamReport
 from sassafraswharf.gateway.control_link import ControlLink
+from sassafraswharf.gateway.crash_evidence import REFUSED_CRASHES
+from sassafraswharf.gateway.crash_evidence import CrashEvidence
 from sassafraswharf.gateway.fleet_view import FleetView
 from sassafraswharf.gateway.hop_client import HopClient
 from sassafraswharf.gateway.hop_server import HopServer
@@ -33,6 +35,7 @@
     from aiohttp import web
 
     from sassafraswharf.clock import Clock
+    from sassafraswharf.fleet.sync import Suspect
     from sassafraswharf.fleet.values import Instance
     from sassafraswharf.fleet.values import KeyRow
     from sassafraswharf.gateway.heartbeat import Grant
@@ -87,6 +90,7 @@
         self.view = FleetView(reader, log)
         self.choice = FleetChoice(node.zone, self.rng)
         self.hops = HopClient(node.first_peer_port, self.choice, clock)
+        self.crashes = CrashEvidence()
         self.local: LocalUpstream | None = None
         if upstream_address is not None:
             self.local = LocalUpstream(
@@ -96,6 +100,7 @@
                 self.is_owner,
                 clock,
                 node.terms.drain_s,
+                self.crashes,
             )
         service = node.upstream["service"] if node.upstream else ""
         self.reader = RequestReader(service, names, self.view, self.rng.random())
@@ -106,6 +111,7 @@
             self.hops,
             self.local,
             self.make_budget,
+            self.crashes,
             clock,
             log,
         )
@@ -117,7 +123,9 @@
             clock,
             log,
             self.make_report,
+            self.on_suspects,
         )
+        self.crashes.on_crash = self.on_crash
         self.callers = self.create_server(self.ingress.handle)
         self.routers = self.create_server(self.hop_server.handle)
         self.stopping = False
@@ -305,6 +313,17 @@
             for one in self.holds.current
         )
 
+    def on_crash(self, instance: Instance, lost: int) -> None:
+        """Report the end of a life at once, so that its keys get an owner."""
+        self.log.record("upstream_ended", upstream=instance.name, lost=lost)
+        self.link.report_now()
+
+    def on_suspects(self, suspects: tuple[Suspect, ...]) -> None:
+        """Take the requests that have crashed upstreams."""
+        self.crashes.take_suspects(suspects)
+        refused = [one for one in suspects if one.crashes >= REFUSED_CRASHES]
+        self.log.record("suspects", requests=len(suspects), refused=len(refused))
+
     def on_leave(self, instance: Instance) -> None:
         """Take the upstream's word that it leaves."""
         if self.local is None:
@@ -325,22 +344,20 @@
             self.view.plan.version,
             self.view.fleet.version,
             hold_s,
-            self.report_upstream(local) if local and self.knows_fleet else None,
+            # Without a table the router doesn't know yet what drains.
+            self.report_upstream(local) if local and self.link.has_table else None,
             tuple(local.ended) if local else (),
+            *self.crashes.report(self.clock.now()),
+            self.crashes.checksum,
         )
 
-    @property
-    def knows_fleet(self) -> bool:
-        """Return whether the router has a table, and with it what drains."""
-        return self.link.has_table
-
     def report_upstream(self, local: LocalUpstream) -> UpstreamReport | None:
         """Return what is known of the upstream of this host."""
         beat = local.beat
         if beat is None:
             return None
         now = self.clock.now()
-        busy, rate, loads = local.take_load()
+        load = local.load.take()
         return UpstreamReport(
             beat.instance,
             beat.service,
@@ -350,9 +367,9 @@
             self.holds.held(now),
             self.holds.released_rows(),
             self.holds.is_complete(now),
-            busy,
+            load.busy_slots,
             local.queue.service_s,
-            rate,
-            loads,
+            load.requests,
+            load.keys,
             self.stopping,
         )
--- /dev/null
+++ b/src/sassafraswharf/gateway/upstream_load.py
@@ -0,0 +1,58 @@
+"""How busy the upstream of a host is, as reported to the leader."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Final
+from typing import NamedTuple
+
+from sassafraswharf.fleet.sync import KeyLoad
+
+
+if TYPE_CHECKING:
+    from sassafraswharf.clock import Clock
+
+
+MAX_KEYS: Final = 400
+PERIOD_S: Final = 0.5
+
+
+class LoadReport(NamedTuple):
+    """Mean slots at work, requests a second, and requests by key."""
+
+    busy_slots: float
+    requests: float
+    keys: tuple[KeyLoad, ...]
+
+
+class UpstreamLoad:
+    """Counts slot time and requests by key until they are taken."""
+
+    def __init__(self, clock: Clock) -> None:
+        """Start with the present period."""
+        self.clock = clock
+        self.keys: dict[int, int] = {}
+        self.busy_s = 0.0
+        self.requests = 0
+        self.since = clock.now()
+
+    def on_key(self, key: int) -> None:
+        """Count a request for a key; a few hundred keys are told apart."""
+        if len(self.keys) < MAX_KEYS or key in self.keys:
+            self.keys[key] = self.keys.get(key, 0) + 1
+
+    def on_end(self, started_at: float) -> None:
+        """Count the slot time of a request that has ended."""
+        self.busy_s += self.clock.now() - started_at
+        self.requests += 1
+
+    def take(self) -> LoadReport:
+        """Return what was counted; a period of half a second starts anew."""
+        now = self.clock.now()
+        elapsed_s = max(now - self.since, 1e-3)
+        keys = tuple(KeyLoad(*item) for item in self.keys.items())
+        report = LoadReport(self.busy_s / elapsed_s, self.requests / elapsed_s, keys)
+        if elapsed_s >= PERIOD_S:
+            self.since, self.busy_s, self.requests = now, 0.0, 0
+        self.keys = {}
+        return report
--- a/src/sassafraswharf_bench/provider/endpoint.py
+++ b/src/sassafraswharf_bench/provider/endpoint.py
@@ -23,6 +23,8 @@
     from collections.abc import Iterable
 
 
+CRASH = "mark=crash"
+"""A request with this in its query ends the endpoint that begins to run it."""
 NOT_RUN = {"Not-Executed": "1"}
 ANSWER_TIMEOUT_S = 1.0
 RELEASE_PAUSE_S = 0.1
@@ -80,17 +82,21 @@
         self.running: list[int] = []
         self.runs: list[Run] = []
         self.grants: list[tuple[float, tuple[Hold, ...]]] = []
+        self.crashed = asyncio.Event()
+        self.crash: asyncio.Task[None] | None = None
+        self.server: web.Server | None = None
+        self.site: web.TCPSite | None = None
         self.runner: web.ServerRunner | None = None
         self.task: asyncio.Task[None] | None = None
         self.session: aiohttp.ClientSession | None = None
 
     async def start(self) -> None:
         """Listen and announce."""
-        self.runner = web.ServerRunner(
-            web.Server(self.handle, handler_cancellation=True)
-        )
+        self.server = web.Server(self.handle, handler_cancellation=True)
+        self.runner = web.ServerRunner(self.server)
         await self.runner.setup()
-        await web.TCPSite(self.runner, *self.address).start()
+        self.site = web.TCPSite(self.runner, *self.address)
+        await self.site.start()
         self.session = aiohttp.ClientSession(
             timeout=aiohttp.ClientTimeout(total=ANSWER_TIMEOUT_S)
         )
@@ -106,6 +112,18 @@
         if self.runner is not None:
             await self.runner.cleanup()
 
+    async def end_abruptly(self) -> None:
+        """End like a process that crashes: all connections are lost at once."""
+        self.crashed.set()
+        if self.task is not None:
+            self.task.cancel()
+        if self.server is not None:
+            for connection in self.server.connections:
+                if connection.transport is not None:
+                    connection.transport.abort()
+        if self.site is not None:
+            await self.site.stop()
+
     def held(self, now: float) -> list[Hold]:
         """Return the holds that have not run out."""
         return [hold for hold in self.holds if hold.until > now]
@@ -206,6 +224,8 @@
                     body,
                 )
             )
+            if CRASH in request.raw_path:
+                self.crash = asyncio.create_task(self.end_abruptly())
             await asyncio.sleep(self.work_s)
         finally:
             self.running.remove(key)
--- a/tests/gateway/test_control_link.py
+++ b/tests/gateway/test_control_link.py
@@ -59,7 +59,7 @@
     def report(hold_s: float, sequence: int) -> SyncRequest:
         return SyncRequest("h", "ip", "a", 1, sequence, 0, 0, hold_s)
 
-    return ControlLink(seeds, port, view, clock, log, report)
+    return ControlLink(seeds, port, view, clock, log, report, lambda _: None)
 
 
 @pytest.mark.parametrize("seeds", [(LEADER,), (OTHER,), (DARK, OTHER), (DARK, LEADER)])
--- a/tests/gateway/test_ingress.py
+++ b/tests/gateway/test_ingress.py
@@ -14,11 +14,14 @@
 
 from sassafraswharf.clock import BootClock
 from sassafraswharf.codes import ResultCode
+from sassafraswharf.fleet.sync import Suspect
 from sassafraswharf.fleet.values import FleetChange
 from sassafraswharf.fleet.values import Instance
 from sassafraswharf.fleet.values import KeyRow
 from sassafraswharf.fleet.values import ServiceRows
 from sassafraswharf.fleet.values import Upstream
+from sassafraswharf.gateway.crash_evidence import CrashEvidence
+from sassafraswharf.gateway.crash_evidence import digest_of
 from sassafraswharf.gateway.fleet_view import FleetView
 from sassafraswharf.gateway.ingress import Ingress
 from sassafraswharf.gateway.ingress import Progress
@@ -59,7 +62,7 @@
         return self.outcomes[min(len(self.asked), len(self.outcomes)) - 1]
 
 
-def make_ingress(hops: Hops) -> Ingress:
+def make_ingress(hops: Hops, crashes: CrashEvidence | None = None) -> Ingress:
     log = DecisionLog("h", -1)
     view = FleetView(DocumentReader(), log)
     upstreams = tuple(
@@ -74,6 +77,7 @@
         hops,  # type: ignore[arg-type]
         None,
         lambda: RepeatBudget(0.2, 64, 10),
+        crashes or CrashEvidence(),
         BootClock(),
         log,
     )
@@ -86,16 +90,19 @@
     key: int | None = None,
     attempts: int = 2,
     time_s: float = 0.6,
+    crashes: int = 0,
 ) -> tuple[Outcome, list[str]]:
     async def main() -> tuple[Outcome, list[str]]:
         hops = Hops(outcomes)
-        ingress = make_ingress(hops)
+        evidence = CrashEvidence()
+        ingress = make_ingress(hops, evidence)
         now = ingress.clock.now()
         terms = Terms(1, False, now + 0.3, now + time_s)
         service = "s" if key is None else "k"
         work = Work(
             "id", "GET", "/", (), b"", None, service, "s", key, repeatable, terms
         )
+        evidence.take_suspects([Suspect(digest_of(work), crashes)] if crashes else [])
         targets = (RouteTarget(service, 1),)
         route = Route("r", "h", "/", repeatable, 1.0, 0.3, 1, attempts, targets)
         return await ingress.serve(work, route, Progress()), hops.asked
@@ -153,3 +160,22 @@
     assert isinstance(outcome, Err)
     assert outcome.err_value.not_run
     assert 1 <= len(names) <= 3
+
+
+@pytest.mark.parametrize(
+    ("outcomes", "crashes", "asked", "code"),
+    [
+        ([LOST, ANSWER], 1, 1, ResultCode.OUTCOME_UNKNOWN),
+        ([FULL, LOST], 1, 2, ResultCode.OUTCOME_UNKNOWN),
+        ([ANSWER], 3, 0, ResultCode.QUARANTINED),
+    ],
+)
+def test_a_suspect_of_crashes_is_not_repeated(
+    outcomes: list[Outcome], crashes: int, asked: int, code: ResultCode
+) -> None:
+    """Guards against a request that crashes the upstreams one after the other."""
+    outcome, names = serve(outcomes, repeatable=True, crashes=crashes)
+    assert len(names) == asked
+    assert isinstance(outcome, Err)
+    assert outcome.err_value.code is code
+    assert outcome.err_value.not_run is (code is ResultCode.QUARANTINED)
--- a/tests/gateway/test_local_upstream.py
+++ b/tests/gateway/test_local_upstream.py
@@ -7,6 +7,7 @@
 from sassafraswharf.clock import BootClock
 from sassafraswharf.fleet.values import Instance
 from sassafraswharf.fleet.values import Upstream
+from sassafraswharf.gateway.crash_evidence import CrashEvidence
 from sassafraswharf.gateway.heartbeat import Heartbeat
 from sassafraswharf.gateway.key_holds import KeyHolds
 from sassafraswharf.gateway.local_upstream import LocalUpstream
@@ -29,7 +30,13 @@
 def make_local() -> LocalUpstream:
     holds = KeyHolds(0.0, 4.5, 2.5)
     return LocalUpstream(
-        ADDRESS, HEADER_NAMES, holds, lambda *_: True, BootClock(), DRAIN_S
+        ADDRESS,
+        HEADER_NAMES,
+        holds,
+        lambda *_: True,
+        BootClock(),
+        DRAIN_S,
+        CrashEvidence(),
     )
 
 
--- a/tests/provider/test_fleet.py
+++ b/tests/provider/test_fleet.py
@@ -201,3 +201,33 @@
         assert 'what="can_acknowledge"' in pages["core-0"]
 
     play(tmp_path, 18, scenario)
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "key"),
+    [("GET", "/diary/x?mark=crash", 7), ("POST", "/book/x?mark=crash", None)],
+)
+def test_a_crashing_request_is_refused_after_a_few_crashes(
+    tmp_path: Path, method: str, path: str, key: int | None
+) -> None:
+    """Guards against one resent request that crashes an upstream each time."""
+
+    async def scenario(fleet: Fleet) -> None:
+        crashed = 0
+        codes: list[bytes] = []
+        until = time.monotonic() + 60.0
+        while codes[-3:] != [b"3109"] * 3 and time.monotonic() < until:
+            caller = fleet.caller(f"side-{len(codes) % len(SERVICES)}")
+            reply = await caller.send(method, path, HOST, key=key)
+            codes.append(reply.body[:4])
+            for name, endpoint in list(fleet.endpoints.items()):
+                if endpoint.crashed.is_set():
+                    crashed += 1
+                    await fleet.end_endpoint(name)
+                    await asyncio.sleep(0.3)
+                    await fleet.start_endpoint(name)
+        assert codes[-3:] == [b"3109"] * 3
+        assert crashed <= 4
+        await fleet.until(fleet.is_served, "innocent requests are not served")
+
+    play(tmp_path, 19 if key is None else 18, scenario)
