Let status, upstreams, explain and audit of the tool read a new fleet

Only the leader hears the routers; the others name it. Nothing can be changed there.

Test: the tool against a fleet of real processes (tests/provider/test_fleet.py).

--- a/src/sassafraswharf/console/commands/upstreams.py
+++ b/src/sassafraswharf/console/commands/upstreams.py
@@ -29,6 +29,8 @@
     "connections",
     "speed",
     "owned_slots",
+    "owned_keys",
+    "busy",
     "checks_grants",
 )
 EXAMPLES: Final = """\
--- a/src/sassafraswharf/fleet/control_node.py
+++ b/src/sassafraswharf/fleet/control_node.py
@@ -34,6 +34,8 @@
 from sassafraswharf.fleet.fleet_state import decode_plan_reply
 from sassafraswharf.fleet.fleet_state import encode_fleet_change
 from sassafraswharf.fleet.fleet_state import encode_plan_command
+from sassafraswharf.fleet.read_api import PREFIX
+from sassafraswharf.fleet.read_api import ReadApi
 from sassafraswharf.fleet.sync import REQUEST_DECODER
 from sassafraswharf.fleet.sync import SyncReply
 from sassafraswharf.fleet.sync import SyncRequest
@@ -129,11 +131,12 @@
         )
         self.group = self.create_group()
         self.server = HttpServer(
-            self.handle_sync,
+            self.handle,
             max_body_bytes=MAX_SYNC_BYTES,
             max_header_bytes=MAX_HEADER_BYTES,
             header_timeout_s=HEADER_TIMEOUT_S,
         )
+        self.reads = ReadApi(self, node.first_peer_port)
         self.tasks: list[asyncio.Task[None]] = []
 
     def create_group(self) -> GroupTask:
@@ -280,6 +283,12 @@
 
     # Routers.
 
+    async def handle(self, request: web.BaseRequest) -> web.Response:
+        """Answer a router, or a read of the command line."""
+        if request.path.startswith(PREFIX):
+            return self.reads.handle(request)
+        return await self.handle_sync(request)
+
     async def handle_sync(self, request: web.BaseRequest) -> web.Response:
         """Answer a router's report."""
         try:
--- /dev/null
+++ b/src/sassafraswharf/fleet/read_api.py
@@ -0,0 +1,239 @@
+"""What the command line reads from the leader of a fleet."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Final
+
+import msgspec
+
+from aiohttp import web
+
+from sassafraswharf.codes import ResultCode
+from sassafraswharf.fleet.values import KEY_COUNT
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Mapping
+
+    from sassafraswharf.fleet.control_node import ControlNode
+    from sassafraswharf.fleet.coordinator import Session
+    from sassafraswharf.fleet.values import Upstream
+
+    Json = dict[str, object]
+    Query = Mapping[str, str]
+
+
+PREFIX: Final = "/v1/"
+GROUP_NAME: Final = "fleet"
+DEFAULT_ENTRIES: Final = 100
+CONTROL_LIVE_S: Final = 1.0
+"""A member that the leader has not heard for this long is not shown as live."""
+STATUS_OF: Final = {
+    ResultCode.NOT_LEADER: 421,
+    ResultCode.UNKNOWN_SERVICE: 404,
+    ResultCode.BAD_REQUEST: 400,
+}
+
+
+class ReadError(Exception):
+    """A read that can't be answered."""
+
+    def __init__(self, code: ResultCode, message: str) -> None:
+        """Keep the code for the answer."""
+        super().__init__(message)
+        self.code = code
+
+
+class ReadApi:
+    """Answers ``status``, ``upstreams``, ``explain`` and ``audit`` of the tool.
+
+    Only the leader hears the routers, so any other control host names it
+    instead. Nothing here changes the fleet.
+    """
+
+    def __init__(self, control: ControlNode, port: int) -> None:
+        """Answer for a control host; all of them listen on the same ``port``."""
+        self.control = control
+        self.port = port
+        self.views: dict[str, Callable[[Query], Json]] = {
+            "status": self.status,
+            "upstreams": self.upstreams,
+            "explain": self.explain,
+            "audit": self.audit,
+        }
+
+    def handle(self, request: web.BaseRequest) -> web.Response:
+        """Answer a read; its query fields that are not used are ignored."""
+        view = self.views.get(request.path.removeprefix(PREFIX))
+        if view is None:
+            return refuse(ResultCode.BAD_REQUEST, f"{request.path} is not a read")
+        if not self.control.group.is_current_leader():
+            message = "this control host does not lead the fleet"
+            return refuse(ResultCode.NOT_LEADER, message, leader=self.leader)
+        try:
+            body = view(request.query)
+        except ReadError as error:
+            return refuse(error.code, str(error))
+        return json_response(200, body)
+
+    @property
+    def leader(self) -> str | None:
+        """The address that the leader answers at, ``None`` if it is not known."""
+        address = self.control.leader_address
+        return f"{address}:{self.port}" if address else None
+
+    def status(self, _query: Query) -> Json:
+        """Return the leader, the versions in force and all hosts."""
+        state = self.control.state
+        now = self.control.clock.now()
+        sessions = self.control.coordinator.sessions.values()
+        controls = [self.control_host(one) for one in self.control.control_addresses]
+        routers = [self.router_host(one, now) for one in sessions]
+        return {
+            "deployment": GROUP_NAME,
+            "revision": state.plan.version,
+            "configuration_leader": self.leader,
+            "cells": [
+                {
+                    "cell": GROUP_NAME,
+                    "leader": self.leader,
+                    "table_version": state.fleet.version,
+                }
+            ],
+            "hosts": controls + routers,
+            "suspects": len(self.control.coordinator.crashes.lives),
+        }
+
+    def control_host(self, address: str) -> Json:
+        """Return a member of the control group, named by its address."""
+        is_self = address == self.control.node.address
+        heard_at = self.control.heard_at.get(address)
+        age_s = None if heard_at is None else self.control.clock.now() - heard_at
+        is_live = is_self or (age_s is not None and age_s < CONTROL_LIVE_S)
+        return {
+            "host": self.control.node.host if is_self else address,
+            "cell": GROUP_NAME,
+            "zone": self.control.node.zone if is_self else None,
+            "parts": ["control"],
+            "live": is_live,
+            "revision": self.control.state.plan.version if is_self else None,
+        }
+
+    def router_host(self, session: Session, now: float) -> Json:
+        """Return a host with a router as its last report shows it."""
+        request = session.request
+        timing = self.control.coordinator.timing
+        left_s = max(0.0, timing.lease_s - (now - session.heard_at))
+        return {
+            "host": request.host,
+            "cell": GROUP_NAME,
+            "zone": request.zone,
+            "parts": ["router"],
+            "live": left_s > 0,
+            "session": request.boot,
+            "revision": request.plan_version,
+            "table_version": request.fleet_version,
+            "lease_remaining_s": round(left_s, 2),
+            "upstreams": 0 if request.upstream is None else 1,
+        }
+
+    def upstreams(self, _query: Query) -> Json:
+        """Return the upstreams, the keys that each owns and how busy it is."""
+        fleet = self.control.state.fleet
+        return {
+            "version": fleet.version,
+            "upstreams": [self.upstream(one) for one in fleet.upstreams.values()],
+        }
+
+    def upstream(self, upstream: Upstream) -> Json:
+        """Return one upstream."""
+        rows = self.control.state.fleet.rows_of(upstream.instance)
+        busy = self.control.coordinator.busy_shares.get(upstream.service, {})
+        return {
+            "upstream": upstream.instance.name,
+            "service": upstream.service,
+            "state": state_of(upstream),
+            "host": upstream.host,
+            "zone": upstream.zone,
+            "address": upstream.router,
+            "slots": upstream.slots,
+            "owned_keys": sum(row.last - row.first + 1 for row in rows),
+            "busy": busy.get(upstream.instance.name),
+        }
+
+    def explain(self, query: Query) -> Json:
+        """Return who owns a key, and where it moves.
+
+        Raises ``ReadError`` for an unknown service or a key that is none.
+        """
+        service, text = query.get("service", ""), query.get("key", "")
+        fleet = self.control.state.fleet
+        if service not in fleet.rows:
+            message = f"{service!r} is not a service with keys"
+            raise ReadError(ResultCode.UNKNOWN_SERVICE, message)
+        if not text.isdecimal() or int(text) >= KEY_COUNT:
+            message = f"key {text!r} is not a number from 0 to {KEY_COUNT - 1}"
+            raise ReadError(ResultCode.BAD_REQUEST, message)
+        row = fleet.row_of(service, int(text))
+        if row is None:
+            message = f"{service!r} has no owners yet"
+            raise ReadError(ResultCode.UNKNOWN_SERVICE, message)
+        owner = fleet.upstreams.get(row.owner)
+        return {
+            "service": service,
+            "key": int(text),
+            "upstream": row.owner.name or None,
+            "host": owner.host if owner else None,
+            "zone": owner.zone if owner else None,
+            "state": state_of(owner) if owner else "unassigned",
+            "first_key": row.first,
+            "last_key": row.last,
+            "fence": row.fence,
+            "moves_to": row.target.name or None,
+            "table_version": fleet.version,
+        }
+
+    def audit(self, query: Query) -> Json:
+        """Return the newest changes of the configuration, with their outcome."""
+        text = query.get("limit", str(DEFAULT_ENTRIES))
+        if not text.isdecimal() or not int(text):
+            raise ReadError(ResultCode.BAD_REQUEST, f"limit {text!r} is not above 0")
+        trail = self.control.state.audit
+        entries = list(trail)[-int(text) :]
+        return {
+            "entries": [
+                {
+                    "at": entry.at,
+                    "actor": entry.actor,
+                    "action": "change",
+                    "subject": f"{entry.base_version} -> {entry.version}",
+                    "revision": entry.version,
+                    "code": entry.code,
+                    "detail": entry.message,
+                }
+                for entry in entries
+            ],
+        }
+
+
+def state_of(upstream: Upstream) -> str:
+    """Return the state of an upstream in one word."""
+    if upstream.draining:
+        return "draining"
+    return "restarting" if upstream.restarting else "admitted"
+
+
+def refuse(
+    code: ResultCode, message: str, *, leader: str | None = None
+) -> web.Response:
+    """Return a refusal with its code and, if it is known, the leader."""
+    body = {"code": int(code), "message": message, "leader": leader}
+    return json_response(STATUS_OF[code], body)
+
+
+def json_response(status: int, body: Json) -> web.Response:
+    """Return an object as JSON."""
+    content = msgspec.json.encode(body)
+    return web.Response(status=status, body=content, content_type="application/json")
--- a/tests/provider/test_fleet.py
+++ b/tests/provider/test_fleet.py
@@ -4,14 +4,19 @@
 
 import asyncio
 import itertools
+import json
 import signal
+import sys
 import time
 
+from pathlib import Path
 from typing import TYPE_CHECKING
+from typing import Any
 
 import aiohttp
 import pytest
 
+from sassafraswharf_bench.provider.machines import PEER_PORTS
 from tests.provider.harness import BOOKING
 from tests.provider.harness import DIARY
 from tests.provider.harness import HOST
@@ -22,7 +27,6 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
-    from pathlib import Path
 
 
 SERVICES = [DIARY, DIARY, DIARY, BOOKING, BOOKING]
@@ -231,3 +235,44 @@
         await fleet.until(fleet.is_served, "innocent requests are not served")
 
     play(tmp_path, 19 if key is None else 18, scenario)
+
+
+async def run_tool(*words: str) -> tuple[int, Any]:
+    """Run the command line and return its status and the JSON that it prints."""
+    process = await asyncio.create_subprocess_exec(
+        str(Path(sys.executable).with_name("sassafraswharf")),
+        *words,
+        "--json",
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.DEVNULL,
+    )
+    output, _ = await process.communicate()
+    return process.returncode or 0, json.loads(output)
+
+
+def test_the_command_line_reads_the_fleet(tmp_path: Path) -> None:
+    """Guards against a fleet that on-call engineers can't look into."""
+
+    async def scenario(fleet: Fleet) -> None:
+        # Any control host leads the tool to the leader.
+        admin = ("--admin", f"{fleet.machines.controls[1].ip}:{PEER_PORTS[0]}")
+        status, found = await run_tool("status", *admin)
+        assert status == 0
+        hosts = {host["host"]: host for host in found["hosts"]}
+        assert all(hosts[one.name]["live"] for one in fleet.machines.routers)
+        assert len(hosts) == len(fleet.machines.routers) + 3
+        _, found = await run_tool("upstreams", *admin)
+        owned = [one["owned_keys"] for one in found["upstreams"]]
+        assert sum(owned) == 65_536
+        assert len(owned) == len(SERVICES)
+        _, found = await run_tool("explain", DIARY, "7", *admin)
+        assert found["first_key"] <= 7 <= found["last_key"]
+        owner = fleet.endpoints[found["host"]]
+        assert owner.instance == found["upstream"]
+        status, found = await run_tool("explain", DIARY, "x7", *admin)
+        assert status != 0
+        assert "from 0 to 65535" in found["message"]
+        _, found = await run_tool("audit", *admin)
+        assert [entry["revision"] for entry in found["entries"]] == [1]
+
+    play(tmp_path, 20, scenario)
