Keep calm traffic in its availability zone

Cause: three upstreams were drawn at random and compared, so with five or more the own zone was often not among them, and a difference of 12 ms was enough to cross.

Two of the three draws are now from the own zone, and an upstream elsewhere must be 30 ms faster, well above a hop and far below the goals of 150 ms and more.

Ruled out: reports to the leader as the source (25 KB/s of about 450 KB/s by count).

Tests: calm traffic stays, a full zone passes work on (test_upstream_choice.py; the first failed before).

--- a/src/sassafraswharf/gateway/upstream_choice.py
+++ b/src/sassafraswharf/gateway/upstream_choice.py
@@ -19,9 +19,11 @@
 DRAWS: Final = 3
 UNMEASURED_SERVICE_S: Final = 0.06
 HINT_LIFE_S: Final = 1.0
-ZONE_PENALTY_S: Final = 0.012
+NEAR_DRAWS: Final = 2
+"""Draws from the own availability zone, as far as it has upstreams."""
+ZONE_PENALTY_S: Final = 0.03
 """A hop between availability zones takes about two milliseconds both ways, and
-its bytes are paid for."""
+its bytes are paid for. Above this difference a shorter queue counts more."""
 CROWDING: Final = 0.5
 """Relative slowdown of an upstream whose slots are all in use."""
 EJECTED_S: Final = 0.4
@@ -93,10 +95,17 @@
         if not open_ones:
             return None
         usable = [one for one in open_ones if self.record_of(one).ejected_until <= now]
-        pool = usable or open_ones
-        if len(pool) > DRAWS:
-            pool = self.rng.sample(pool, DRAWS)
-        return min(pool, key=lambda one: self.expected_s(one, now))
+        drawn = self.draw(usable or open_ones)
+        return min(drawn, key=lambda one: self.expected_s(one, now))
+
+    def draw(self, pool: list[Upstream]) -> list[Upstream]:
+        """Return a few random upstreams, some of them from the own zone."""
+        if len(pool) <= DRAWS:
+            return pool
+        near = [one for one in pool if one.zone == self.zone]
+        far = [one for one in pool if one.zone != self.zone]
+        count = min(len(near), max(NEAR_DRAWS, DRAWS - len(far)))
+        return self.rng.sample(near, count) + self.rng.sample(far, DRAWS - count)
 
     def expected_s(self, upstream: Upstream, now: float) -> float:
         """Return the expected time until an answer, in seconds."""
--- a/tests/gateway/test_upstream_choice.py
+++ b/tests/gateway/test_upstream_choice.py
@@ -71,6 +71,25 @@
     assert set(chosen) == {"y"}
 
 
+@pytest.mark.parametrize(("near", "far"), [(1, 4), (2, 8), (5, 1)])
+def test_calm_traffic_stays_in_its_zone(near: int, far: int) -> None:
+    """Guards against a random draw that leaves the own zone out."""
+    names = [(f"n{n}", "a") for n in range(near)] + [(f"f{n}", "b") for n in range(far)]
+    choice = make(*((name, LoadHint(2, 0, 10, 0.05)) for name, _ in names))
+    chosen = count(choice, [upstream(*one) for one in names], 10.1)
+    assert all(name.startswith("n") for name in chosen)
+
+
+@pytest.mark.parametrize("far_running", [0, 2, 5])
+def test_a_full_zone_passes_work_on(far_running: int) -> None:
+    """Guards against requests that queue at home while others have room."""
+    far = [f"f{n}" for n in range(4)]
+    hints = [(name, LoadHint(far_running, 0, 10, 0.06)) for name in far]
+    choice = make(("n", LoadHint(10, 6, 10, 0.06)), *hints)
+    candidates = [upstream("n", "a"), *(upstream(name, "b") for name in far)]
+    assert "n" not in count(choice, candidates, 10.1)
+
+
 @pytest.mark.parametrize(
     ("others", "expected"),
     [
