Know the rate of a key early and relieve fragmented owners

The decayed count of a key takes seconds to reach what its rate keeps up, so a full upstream passed for idle, also after each change of the leader. Later one owner stood at 2.7 times its slots beside two at 0.4: it had so many small rows that none had the weight of a move, and none was moved.

The rate is now corrected for the age of the count, and where no run has the weight of a move the heaviest whole row goes. Ten runs may be on their way, not six.

--- a/src/sassafraswharf/fleet/key_placement.py
+++ b/src/sassafraswharf/fleet/key_placement.py
@@ -25,7 +25,7 @@
 MIN_GAP = 0.15
 """Least difference in busy slots between the two upstreams of a move."""
 MIN_MOVE_SHARE = 0.02
-MAX_MOVES = 6
+MAX_MOVES = 10
 """Runs of keys of one service that are on their way at a time."""
 FIRST_SHARE = 0.6
 """Share of its fair load that a new upstream is given, while it is still cold."""
@@ -190,6 +190,8 @@
                 run = (row.first, end) if end >= row.first else None
             if run and (best is None or run[1] - run[0] < best[1] - best[0]):
                 best = (*run, row)
+        if best is None:
+            best = self._heaviest_row(owned, weight)
         if best is None:
             return False
         first, last, row = best
@@ -205,6 +207,26 @@
         self.loads[taker] += moved
         return True
 
+    def _heaviest_row(
+        self, rows: Sequence[KeyRow], weight: float
+    ) -> tuple[int, int, KeyRow] | None:
+        """Return the heaviest whole row within a weight, with its bounds.
+
+        After many moves an upstream may own many small rows, none of which has
+        the weight of a move.
+        """
+        within = [
+            (self.weights.between(row.first, row.last), row.first, row)
+            for row in rows
+            if self.weights.between(row.first, row.last) <= weight
+        ]
+        if not within:
+            return None
+        heaviest, _, row = max(within)
+        if heaviest < MIN_MOVE_SHARE * self.shares[row.owner]:
+            return None
+        return row.first, row.last, row
+
     def result(self) -> tuple[KeyRow, ...]:
         """Return the rows as planned."""
         return merge_rows(self.rows)
--- a/src/sassafraswharf/fleet/key_weights.py
+++ b/src/sassafraswharf/fleet/key_weights.py
@@ -20,6 +20,8 @@
 
 HALF_LIFE_S = 1.5
 """Hot keys move within minutes, a hot search within seconds."""
+MIN_AGE_S = 0.25
+"""Requests are reported about three times a second; a shorter time tells no rate."""
 MIN_WEIGHT = 0.02
 BASE_SHARE = 0.15
 """Share of the whole weight that is spread evenly over all keys, since the next
@@ -34,6 +36,7 @@
         """Start with equal weights."""
         self.weights: dict[int, float] = {}
         self.decayed_at: float | None = None
+        self.age_s = 0.0
         self.keys: list[int] = []
         self.sums: list[float] = [0.0]
         self.per_key = MIN_BASE_WEIGHT / KEY_COUNT
@@ -55,6 +58,7 @@
             decayed = ((key, one * factor) for key, one in self.weights.items())
             self.weights = {key: one for key, one in decayed if one > MIN_WEIGHT}
             self.stale = True
+            self.age_s = self.age_s + elapsed_s if self.weights else 0.0
         if not self.stale:
             return
         self.stale = False
@@ -64,8 +68,13 @@
         self.per_key = base / KEY_COUNT
 
     def rate_of(self, weight: float) -> float:
-        """Return the requests a second that keep up a weight."""
-        return weight * math.log(2) / HALF_LIFE_S
+        """Return the requests a second that a weight stands for.
+
+        Requests that come since a short time only have not built up the weight
+        that their rate will keep up.
+        """
+        built_up: float = 1.0 - 0.5 ** (max(self.age_s, MIN_AGE_S) / HALF_LIFE_S)
+        return weight * math.log(2) / HALF_LIFE_S / built_up
 
     def between(self, first: int, last: int) -> float:
         """Return the weight of the keys from ``first`` to ``last``."""
