Break the import circles of consensus, router and fleet

progress took NEVER from core, which names Progress; crash_watch and permit named the runner that uses both; read_api named the control host that creates it. The instants and periods of a group have a module of their own now, and the others name protocols (ServedUpstream, ControlView). Reads return results in place of raising an error of their own.

--- a/src/sassafraswharf/consensus/core.py
+++ b/src/sassafraswharf/consensus/core.py
@@ -24,21 +24,11 @@
     from sassafraswharf.consensus.entry import Snapshot
     from sassafraswharf.consensus.messages import Body
     from sassafraswharf.consensus.progress import Progress
+    from sassafraswharf.consensus.timing import ReplicaTiming
     from sassafraswharf.consensus.voters import Voters
     from sassafraswharf.identifiers import ReplicaId
 
 
-NEVER = float("-inf")
-
-
-class ReplicaTiming(NamedTuple):
-    """Periods of a group in seconds."""
-
-    heartbeat_s: float = 0.075
-    election_min_s: float = 0.25
-    election_max_s: float = 0.40
-
-
 class MembershipPolicy(NamedTuple):
     """How a group is founded and how many voters it grows to.
 
--- a/src/sassafraswharf/consensus/group_task.py
+++ b/src/sassafraswharf/consensus/group_task.py
@@ -45,9 +45,9 @@
 
     from sassafraswharf.clock import Clock
     from sassafraswharf.consensus.core import MembershipPolicy
-    from sassafraswharf.consensus.core import ReplicaTiming
     from sassafraswharf.consensus.entry import Entry
     from sassafraswharf.consensus.state_machine import StateMachine
+    from sassafraswharf.consensus.timing import ReplicaTiming
     from sassafraswharf.identifiers import GroupId
     from sassafraswharf.identifiers import ReplicaId
 
--- a/src/sassafraswharf/consensus/progress.py
+++ b/src/sassafraswharf/consensus/progress.py
@@ -4,7 +4,7 @@
 
 from collections import deque
 
-from sassafraswharf.consensus.core import NEVER
+from sassafraswharf.consensus.timing import NEVER
 
 
 # Flow control: batches in flight to one replica, and the size of a batch. With the
--- a/src/sassafraswharf/consensus/replication.py
+++ b/src/sassafraswharf/consensus/replication.py
@@ -7,7 +7,6 @@
 from sassafraswharf.consensus.actions import PersistEntries
 from sassafraswharf.consensus.actions import Role
 from sassafraswharf.consensus.actions import TruncateFrom
-from sassafraswharf.consensus.core import NEVER
 from sassafraswharf.consensus.core import ReplicaCore
 from sassafraswharf.consensus.entry import Entry
 from sassafraswharf.consensus.entry import EntryKind
@@ -16,6 +15,7 @@
 from sassafraswharf.consensus.progress import BATCH_BYTES
 from sassafraswharf.consensus.progress import BATCH_ENTRIES
 from sassafraswharf.consensus.progress import Progress
+from sassafraswharf.consensus.timing import NEVER
 
 
 if TYPE_CHECKING:
--- a/src/sassafraswharf/consensus/snapshots.py
+++ b/src/sassafraswharf/consensus/snapshots.py
@@ -6,12 +6,12 @@
 
 from sassafraswharf.consensus.actions import InstallSnapshot
 from sassafraswharf.consensus.actions import Role
-from sassafraswharf.consensus.core import NEVER
 from sassafraswharf.consensus.entry import Snapshot
 from sassafraswharf.consensus.messages import AppendReply
 from sassafraswharf.consensus.messages import SnapshotChunk
 from sassafraswharf.consensus.messages import SnapshotReply
 from sassafraswharf.consensus.replication import Replication
+from sassafraswharf.consensus.timing import NEVER
 
 
 if TYPE_CHECKING:
--- a/src/sassafraswharf/control/control_part.py
+++ b/src/sassafraswharf/control/control_part.py
@@ -16,10 +16,10 @@
 from sassafraswharf.cell.state import CellState
 from sassafraswharf.codes import ResultCode
 from sassafraswharf.configuration.state import ConfigurationState
-from sassafraswharf.consensus.core import ReplicaTiming
 from sassafraswharf.consensus.group_task import GroupTask
 from sassafraswharf.consensus.messages import decode_message
 from sassafraswharf.consensus.messages import encode_message
+from sassafraswharf.consensus.timing import ReplicaTiming
 from sassafraswharf.consensus.voters import host_name
 from sassafraswharf.control.cell_part import CellPart
 from sassafraswharf.identifiers import GroupId
--- a/src/sassafraswharf/fleet/control_node.py
+++ b/src/sassafraswharf/fleet/control_node.py
@@ -19,11 +19,11 @@
 
 from sassafraswharf.codes import ResultCode
 from sassafraswharf.consensus.core import MembershipPolicy
-from sassafraswharf.consensus.core import ReplicaTiming
 from sassafraswharf.consensus.files import replace_file
 from sassafraswharf.consensus.group_task import GroupTask
 from sassafraswharf.consensus.messages import decode_message
 from sassafraswharf.consensus.messages import encode_message
+from sassafraswharf.consensus.timing import ReplicaTiming
 from sassafraswharf.consensus.voters import host_name
 from sassafraswharf.exceptions import StorageError
 from sassafraswharf.failure import Failure
@@ -234,6 +234,11 @@
         self.news.notify()
         self.due.set()
 
+    @property
+    def leads(self) -> bool:
+        """Return whether this control host leads and knows the newest state."""
+        return self.group.is_current_leader()
+
     @property
     def leader_address(self) -> str:
         """Return the IP address of the leader, empty if it is not known."""
--- a/src/sassafraswharf/fleet/read_api.py
+++ b/src/sassafraswharf/fleet/read_api.py
@@ -8,8 +8,12 @@
 import msgspec
 
 from aiohttp import web
+from result import Err
+from result import Ok
+from result import Result
 
 from sassafraswharf.codes import ResultCode
+from sassafraswharf.failure import Failure
 from sassafraswharf.fleet.values import KEY_COUNT
 
 
@@ -17,7 +21,7 @@
     from collections.abc import Callable
     from collections.abc import Mapping
 
-    from sassafraswharf.fleet.control_node import ControlNode
+    from sassafraswharf.fleet.control_view import ControlView
     from sassafraswharf.fleet.coordinator import Session
     from sassafraswharf.fleet.values import Upstream
 
@@ -27,6 +31,7 @@
 
 PREFIX: Final = "/v1/"
 GROUP_NAME: Final = "fleet"
+OK_STATUS: Final = 200
 DEFAULT_ENTRIES: Final = 100
 CONTROL_LIVE_S: Final = 1.0
 """A member that the leader has not heard for this long is not shown as live."""
@@ -37,15 +42,6 @@
 }
 
 
-class ReadError(Exception):
-    """A read that can't be answered."""
-
-    def __init__(self, code: ResultCode, message: str) -> None:
-        """Keep the code for the answer."""
-        super().__init__(message)
-        self.code = code
-
-
 class ReadApi:
     """Answers ``status``, ``upstreams``, ``explain`` and ``audit`` of the tool.
 
@@ -53,11 +49,11 @@
     instead. Nothing here changes the fleet.
     """
 
-    def __init__(self, control: ControlNode, port: int) -> None:
+    def __init__(self, control: ControlView, port: int) -> None:
         """Answer for a control host; all of them listen on the same ``port``."""
         self.control = control
         self.port = port
-        self.views: dict[str, Callable[[Query], Json]] = {
+        self.views: dict[str, Callable[[Query], Result[Json, Failure]]] = {
             "status": self.status,
             "upstreams": self.upstreams,
             "explain": self.explain,
@@ -68,15 +64,15 @@
         """Answer a read; its query fields that are not used are ignored."""
         view = self.views.get(request.path.removeprefix(PREFIX))
         if view is None:
-            return refuse(ResultCode.BAD_REQUEST, f"{request.path} is not a read")
-        if not self.control.group.is_current_leader():
+            message = f"{request.path} is not a read"
+            return refuse(Failure(ResultCode.BAD_REQUEST, message))
+        if not self.control.leads:
             message = "this control host does not lead the fleet"
-            return refuse(ResultCode.NOT_LEADER, message, leader=self.leader)
-        try:
-            body = view(request.query)
-        except ReadError as error:
-            return refuse(error.code, str(error))
-        return json_response(200, body)
+            return refuse(Failure(ResultCode.NOT_LEADER, message), leader=self.leader)
+        answer = view(request.query)
+        if isinstance(answer, Err):
+            return refuse(answer.err_value)
+        return json_response(OK_STATUS, answer.ok_value)
 
     @property
     def leader(self) -> str | None:
@@ -84,27 +80,29 @@
         address = self.control.leader_address
         return f"{address}:{self.port}" if address else None
 
-    def status(self, _query: Query) -> Json:
+    def status(self, _query: Query) -> Result[Json, Failure]:
         """Return the leader, the versions in force and all hosts."""
         state = self.control.state
         now = self.control.clock.now()
         sessions = self.control.coordinator.sessions.values()
         controls = [self.control_host(one) for one in self.control.control_addresses]
         routers = [self.router_host(one, now) for one in sessions]
-        return {
-            "deployment": GROUP_NAME,
-            "revision": state.plan.version,
-            "configuration_leader": self.leader,
-            "cells": [
-                {
-                    "cell": GROUP_NAME,
-                    "leader": self.leader,
-                    "table_version": state.fleet.version,
-                }
-            ],
-            "hosts": controls + routers,
-            "suspects": len(self.control.coordinator.crashes.lives),
-        }
+        return Ok(
+            {
+                "deployment": GROUP_NAME,
+                "revision": state.plan.version,
+                "configuration_leader": self.leader,
+                "cells": [
+                    {
+                        "cell": GROUP_NAME,
+                        "leader": self.leader,
+                        "table_version": state.fleet.version,
+                    }
+                ],
+                "hosts": controls + routers,
+                "suspects": len(self.control.coordinator.crashes.lives),
+            }
+        )
 
     def control_host(self, address: str) -> Json:
         """Return a member of the control group, named by its address."""
@@ -139,13 +137,15 @@
             "upstreams": 0 if request.upstream is None else 1,
         }
 
-    def upstreams(self, _query: Query) -> Json:
+    def upstreams(self, _query: Query) -> Result[Json, Failure]:
         """Return the upstreams, the keys that each owns and how busy it is."""
         fleet = self.control.state.fleet
-        return {
-            "version": fleet.version,
-            "upstreams": [self.upstream(one) for one in fleet.upstreams.values()],
-        }
+        return Ok(
+            {
+                "version": fleet.version,
+                "upstreams": [self.upstream(one) for one in fleet.upstreams.values()],
+            }
+        )
 
     def upstream(self, upstream: Upstream) -> Json:
         """Return one upstream."""
@@ -163,59 +163,64 @@
             "busy": busy.get(upstream.instance.name),
         }
 
-    def explain(self, query: Query) -> Json:
+    def explain(self, query: Query) -> Result[Json, Failure]:
         """Return who owns a key, and where it moves.
 
-        Raises ``ReadError`` for an unknown service or a key that is none.
+        It fails for an unknown service, and for a key that is none.
         """
         service, text = query.get("service", ""), query.get("key", "")
         fleet = self.control.state.fleet
         if service not in fleet.rows:
             message = f"{service!r} is not a service with keys"
-            raise ReadError(ResultCode.UNKNOWN_SERVICE, message)
+            return Err(Failure(ResultCode.UNKNOWN_SERVICE, message))
         if not text.isdecimal() or int(text) >= KEY_COUNT:
             message = f"key {text!r} is not a number from 0 to {KEY_COUNT - 1}"
-            raise ReadError(ResultCode.BAD_REQUEST, message)
+            return Err(Failure(ResultCode.BAD_REQUEST, message))
         row = fleet.row_of(service, int(text))
         if row is None:
             message = f"{service!r} has no owners yet"
-            raise ReadError(ResultCode.UNKNOWN_SERVICE, message)
+            return Err(Failure(ResultCode.UNKNOWN_SERVICE, message))
         owner = fleet.upstreams.get(row.owner)
-        return {
-            "service": service,
-            "key": int(text),
-            "upstream": row.owner.name or None,
-            "host": owner.host if owner else None,
-            "zone": owner.zone if owner else None,
-            "state": state_of(owner) if owner else "unassigned",
-            "first_key": row.first,
-            "last_key": row.last,
-            "fence": row.fence,
-            "moves_to": row.target.name or None,
-            "table_version": fleet.version,
-        }
-
-    def audit(self, query: Query) -> Json:
+        return Ok(
+            {
+                "service": service,
+                "key": int(text),
+                "upstream": row.owner.name or None,
+                "host": owner.host if owner else None,
+                "zone": owner.zone if owner else None,
+                "state": state_of(owner) if owner else "unassigned",
+                "first_key": row.first,
+                "last_key": row.last,
+                "fence": row.fence,
+                "moves_to": row.target.name or None,
+                "table_version": fleet.version,
+            }
+        )
+
+    def audit(self, query: Query) -> Result[Json, Failure]:
         """Return the newest changes of the configuration, with their outcome."""
         text = query.get("limit", str(DEFAULT_ENTRIES))
         if not text.isdecimal() or not int(text):
-            raise ReadError(ResultCode.BAD_REQUEST, f"limit {text!r} is not above 0")
+            message = f"limit {text!r} is not a number above 0"
+            return Err(Failure(ResultCode.BAD_REQUEST, message))
         trail = self.control.state.audit
         entries = list(trail)[-int(text) :]
-        return {
-            "entries": [
-                {
-                    "at": entry.at,
-                    "actor": entry.actor,
-                    "action": "change",
-                    "subject": f"{entry.base_version} -> {entry.version}",
-                    "revision": entry.version,
-                    "code": entry.code,
-                    "detail": entry.message,
-                }
-                for entry in entries
-            ],
-        }
+        return Ok(
+            {
+                "entries": [
+                    {
+                        "at": entry.at,
+                        "actor": entry.actor,
+                        "action": "change",
+                        "subject": f"{entry.base_version} -> {entry.version}",
+                        "revision": entry.version,
+                        "code": entry.code,
+                        "detail": entry.message,
+                    }
+                    for entry in entries
+                ],
+            }
+        )
 
 
 def state_of(upstream: Upstream) -> str:
@@ -225,11 +230,10 @@
     return "restarting" if upstream.restarting else "admitted"
 
 
-def refuse(
-    code: ResultCode, message: str, *, leader: str | None = None
-) -> web.Response:
+def refuse(failure: Failure, *, leader: str | None = None) -> web.Response:
     """Return a refusal with its code and, if it is known, the leader."""
-    body = {"code": int(code), "message": message, "leader": leader}
+    code, message = failure.code, failure.message
+    body: Json = {"code": int(code), "message": message, "leader": leader}
     return json_response(STATUS_OF[code], body)
 
 
--- a/src/sassafraswharf/router/crash_watch.py
+++ b/src/sassafraswharf/router/crash_watch.py
@@ -30,7 +30,7 @@
     from sassafraswharf.identifiers import SessionId
     from sassafraswharf.identifiers import UpstreamId
     from sassafraswharf.membership.values import Upstream
-    from sassafraswharf.router.upstream_runner import UpstreamRunner
+    from sassafraswharf.router.served_upstream import ServedUpstream
     from sassafraswharf.router.view import RouterView
 
     Commit = Callable[[Command], Awaitable[bool]]
@@ -155,7 +155,7 @@
             await self.solo_freed.wait(min(until - self.clock.now(), SOLO_POLL_S))
         return self.treatment(digest)
 
-    async def connection_lost(self, runner: UpstreamRunner, request_id: int) -> None:
+    async def connection_lost(self, runner: ServedUpstream, request_id: int) -> None:
         """Find out whether the upstream died, and wait for the report of it."""
         name = runner.upstream.upstream
         self.watch.finished(name, request_id, crashed=True)
@@ -169,13 +169,13 @@
         suspects, convicted = ([], noted) if alone else (noted, [])
         self.watch.spread(suspects, convicted, (), self.clock.now())
 
-    async def examined(self, runner: UpstreamRunner) -> None:
+    async def examined(self, runner: ServedUpstream) -> None:
         """Wait while it is not known whether the upstream has died."""
         while runner.doubtful:
             self.probe(runner)
             await self.judged.wait(REPORT_WAIT_S)
 
-    def probe(self, runner: UpstreamRunner) -> asyncio.Task[None]:
+    def probe(self, runner: ServedUpstream) -> asyncio.Task[None]:
         """Probe an upstream in the background, one probe at a time."""
         name = runner.upstream.upstream
         task = self.probes.get(name)
@@ -183,7 +183,7 @@
             task = self.probes[name] = asyncio.create_task(self.examine(runner))
         return task
 
-    async def examine(self, runner: UpstreamRunner) -> None:
+    async def examine(self, runner: ServedUpstream) -> None:
         """Report the upstream if its process has ended."""
         upstream = runner.upstream
         ended = await has_ended(upstream.address)
@@ -211,14 +211,14 @@
         for request_id in request_ids:
             self.watch.upstream_lives(upstream.upstream, request_id)
 
-    def on_restart(self, runner: UpstreamRunner) -> None:
+    def on_restart(self, runner: ServedUpstream) -> None:
         """Note that a newer process announces itself: the known one has ended."""
         upstream = runner.upstream
         if (upstream.upstream, upstream.incarnation) not in self.deaths:
             runner.lost = True
             self.run_aside(self.report_death(upstream, runner))
 
-    async def report_death(self, upstream: Upstream, runner: UpstreamRunner) -> None:
+    async def report_death(self, upstream: Upstream, runner: ServedUpstream) -> None:
         """Report a death once; all who ask wait for the same report."""
         key = (upstream.upstream, upstream.incarnation)
         task = self.deaths.get(key)
@@ -232,7 +232,7 @@
         task = self.deaths.get((upstream.upstream, upstream.incarnation))
         return task is not None and task.done()
 
-    async def commit_death(self, upstream: Upstream, runner: UpstreamRunner) -> None:
+    async def commit_death(self, upstream: Upstream, runner: ServedUpstream) -> None:
         """Commit the suspicion first, so that no new owner lacks it.
 
         The cell reassigns the slots of a lost upstream at once, although the
--- a/src/sassafraswharf/router/permit.py
+++ b/src/sassafraswharf/router/permit.py
@@ -12,7 +12,7 @@
     from sassafraswharf.clock import Clock
     from sassafraswharf.leases.holder import LeaseHolder
     from sassafraswharf.ownership.values import Ownership
-    from sassafraswharf.router.upstream_runner import UpstreamRunner
+    from sassafraswharf.router.served_upstream import ServedUpstream
     from sassafraswharf.router.view import RouterView
 
 
@@ -31,7 +31,7 @@
 
     def __init__(
         self,
-        runner: UpstreamRunner,
+        runner: ServedUpstream,
         ownership: Ownership | None,
         holder: LeaseHolder,
         view: RouterView,
--- a/src/sassafraswharf_bench/log_append.py
+++ b/src/sassafraswharf_bench/log_append.py
@@ -16,11 +16,11 @@
 import msgspec
 
 from sassafraswharf.clock import BootClock
-from sassafraswharf.consensus.core import ReplicaTiming
 from sassafraswharf.consensus.entry import Entry
 from sassafraswharf.consensus.entry import EntryKind
 from sassafraswharf.consensus.group_task import GroupTask
 from sassafraswharf.consensus.log_file import LogFile
+from sassafraswharf.consensus.timing import ReplicaTiming
 from sassafraswharf.identifiers import GroupId
 from sassafraswharf.identifiers import ReplicaId
 
--- a/tests/consensus/simulation.py
+++ b/tests/consensus/simulation.py
@@ -9,12 +9,12 @@
 import msgspec
 
 from sassafraswharf.consensus import actions
-from sassafraswharf.consensus.core import ReplicaTiming
 from sassafraswharf.consensus.entry import Entry
 from sassafraswharf.consensus.entry import EntryKind
 from sassafraswharf.consensus.entry import Snapshot
 from sassafraswharf.consensus.messages import VoteReply
 from sassafraswharf.consensus.replica import Replica
+from sassafraswharf.consensus.timing import ReplicaTiming
 from sassafraswharf.consensus.voters import Voters
 from sassafraswharf.consensus.voters import decode_voters
 from sassafraswharf.consensus.voters import host_name
--- a/tests/consensus/test_group_task.py
+++ b/tests/consensus/test_group_task.py
@@ -18,9 +18,9 @@
 from sassafraswharf.codes import ResultCode
 from sassafraswharf.consensus import group_task
 from sassafraswharf.consensus import messages
-from sassafraswharf.consensus.core import ReplicaTiming
 from sassafraswharf.consensus.group_task import GroupTask
 from sassafraswharf.consensus.storage import ReplicaStorage
+from sassafraswharf.consensus.timing import ReplicaTiming
 from sassafraswharf.consensus.voters import host_name
 from sassafraswharf.identifiers import GroupId
 from sassafraswharf.identifiers import ReplicaId
--- a/tests/consensus/test_replica.py
+++ b/tests/consensus/test_replica.py
@@ -23,10 +23,10 @@
 from sassafraswharf.consensus import replication
 from sassafraswharf.consensus import snapshots
 from sassafraswharf.consensus.actions import Role
-from sassafraswharf.consensus.core import ReplicaTiming
 from sassafraswharf.consensus.messages import FoundingPromise
 from sassafraswharf.consensus.messages import SnapshotChunk
 from sassafraswharf.consensus.replica import Replica
+from sassafraswharf.consensus.timing import ReplicaTiming
 from tests.consensus import simulation as sim
 
 
