Bound the fleet's decisions in make bench

Two simulations in virtual time with fixed seeds: key ranges while popular keys change their place, beside even ranges, and the choice of upstreams beside a uniform one. Bounds are ratios to these baselines.

--- a/src/sassafraswharf_bench/bench/__main__.py
+++ b/src/sassafraswharf_bench/bench/__main__.py
@@ -18,6 +18,7 @@
 from typing import Any
 
 from sassafraswharf_bench.bench import catch_up
+from sassafraswharf_bench.bench import fleet_decisions
 from sassafraswharf_bench.bench import idle
 from sassafraswharf_bench.bench import offered_load
 from sassafraswharf_bench.bench import recovery
@@ -45,6 +46,7 @@
     "storage": storage.run,
     "placement": simulated.placement,
     "policy": simulated.policy,
+    "fleet": fleet_decisions.run,
     "catch-up": catch_up.run,
     "load": offered_load.run,
 }
--- /dev/null
+++ b/src/sassafraswharf_bench/bench/fleet_decisions.py
@@ -0,0 +1,73 @@
+"""Decisions of the provider's machines in virtual time, with fixed seeds."""
+
+from __future__ import annotations
+
+from sassafraswharf.fleet.values import Instance
+from sassafraswharf_bench.bench.measure import Bound
+from sassafraswharf_bench.bench.measure import Measure
+from sassafraswharf_bench.bench.measure import rounded
+from sassafraswharf_bench.key_ranges import EvenRanges
+from sassafraswharf_bench.key_ranges import PlacedRanges
+from sassafraswharf_bench.key_ranges import simulate
+from sassafraswharf_bench.zone_choice import PER_ZONE
+from sassafraswharf_bench.zone_choice import ZONES
+from sassafraswharf_bench.zone_choice import shares
+
+
+SEEDS = (1, 2, 3)
+OWNER_COUNTS = (4, 12)
+BELOW_EVEN = Bound(1.0, "baseline: even ranges, same run")
+BELOW_UNIFORM = Bound(1.0, "baseline: a uniform choice")
+UNIFORM_FAR = 1.0 - 1.0 / len(ZONES)
+
+
+def key_ranges() -> list[Measure]:
+    """Return the overload under moving popular keys beside even ranges."""
+    measures = []
+    for count in OWNER_COUNTS:
+        owners = [Instance(f"i-{number}", 1) for number in range(count)]
+        placed = [simulate(PlacedRanges(owners), count, seed) for seed in SEEDS]
+        even = [simulate(EvenRanges(owners), count, seed) for seed in SEEDS]
+        ratio = sum(one.overload for one in placed) / sum(one.overload for one in even)
+        share = sum(one.overload for one in placed) / sum(
+            one.requests for one in placed
+        )
+        moved = sum(one.keys_moved for one in placed) / len(SEEDS)
+        measures.append(
+            Measure(
+                f"{count} owners, requests above capacity, placed / even ranges",
+                rounded(ratio),
+                "",
+                BELOW_EVEN,
+                f"{share:.1%} of the requests; keys moved {moved:.2g} times in 30 s",
+            )
+        )
+    return measures
+
+
+def zones() -> list[Measure]:
+    """Return how much leaves its zone, and how much meets a full one."""
+    calm, crowded = shares(2, 2), shares(10, 3)
+    uniform_full = PER_ZONE / (PER_ZONE * len(ZONES))
+    note = f"{len(ZONES)} zones with {PER_ZONE} upstreams each"
+    return [
+        Measure(
+            "calm requests that leave their zone, chosen / uniform",
+            rounded((1.0 - calm.near) / UNIFORM_FAR),
+            "",
+            BELOW_UNIFORM,
+            note,
+        ),
+        Measure(
+            "own zone full, requests that go there, chosen / uniform",
+            rounded(crowded.full / uniform_full),
+            "",
+            BELOW_UNIFORM,
+            note,
+        ),
+    ]
+
+
+def run() -> list[Measure]:
+    """Run both."""
+    return key_ranges() + zones()
--- /dev/null
+++ b/src/sassafraswharf_bench/key_ranges.py
@@ -0,0 +1,152 @@
+"""Key ranges whose load is known at once, in virtual time.
+
+Popular keys come in clusters that change their place every few seconds. Requests
+for a key go to its owner, whether it has room or not; what lies above its capacity
+is counted as overload. A move takes the time of work in progress and a heartbeat.
+"""
+
+from __future__ import annotations
+
+import random
+
+from typing import TYPE_CHECKING
+from typing import Final
+from typing import NamedTuple
+from typing import Protocol
+
+from sassafraswharf.fleet.key_placement import Candidate
+from sassafraswharf.fleet.key_placement import KeyPlacement
+from sassafraswharf.fleet.key_weights import KeyWeights
+from sassafraswharf.fleet.sync import KeyLoad
+from sassafraswharf.fleet.values import KEY_COUNT
+from sassafraswharf.fleet.values import NOBODY
+from sassafraswharf.fleet.values import Instance
+from sassafraswharf.fleet.values import KeyRow
+
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+
+STEP_S: Final = 0.3
+"""Routers report their requests about three times a second."""
+REBALANCE_STEPS: Final = 2
+MOVE_S: Final = 1.2
+SHIFT_S: Final = 6.0
+LENGTH_S: Final = 30.0
+POPULAR_KEYS: Final = 200
+POPULAR_SHARE: Final = 0.4
+LOAD: Final = 0.65
+CAPACITY: Final = 100.0
+
+
+class Owners(Protocol):
+    """Who owns which keys, and how that follows their load."""
+
+    rows: tuple[KeyRow, ...]
+
+    def follow(self, loads: Sequence[KeyLoad], now: float) -> None:
+        """Take the requests of the last step."""
+
+
+class EvenRanges:
+    """Equal ranges that never change."""
+
+    def __init__(self, owners: Sequence[Instance]) -> None:
+        """Give each owner as many keys."""
+        self.rows = even_rows(owners)
+
+    def follow(self, _loads: Sequence[KeyLoad], _now: float) -> None:
+        """Keep the ranges."""
+
+
+class PlacedRanges:
+    """Ranges that the leader's placement moves."""
+
+    def __init__(self, owners: Sequence[Instance]) -> None:
+        """Start with equal ranges."""
+        self.rows = even_rows(owners)
+        self.candidates = [Candidate(one, CAPACITY) for one in owners]
+        self.weights = KeyWeights()
+        self.asked_at: dict[int, float] = {}
+        self.steps = 0
+
+    def follow(self, loads: Sequence[KeyLoad], now: float) -> None:
+        """Complete moves that are due and start new ones."""
+        self.weights.add(loads)
+        self.weights.refresh(now)
+        settled = []
+        for row in self.rows:
+            asked_at = self.asked_at.setdefault(row.first, now)
+            if row.is_moving and now - asked_at >= MOVE_S:
+                settled.append(KeyRow(row.first, row.last, row.target, 1))
+            else:
+                settled.append(row)
+        placement = KeyPlacement(settled, self.candidates, self.weights)
+        self.steps += 1
+        if self.steps % REBALANCE_STEPS == 0:
+            placement.relieve()
+        self.rows = placement.result()
+        moving = {row.first for row in self.rows if row.is_moving}
+        self.asked_at = {
+            first: at for first, at in self.asked_at.items() if first in moving
+        }
+
+
+class Outcome(NamedTuple):
+    """Requests above the capacity of their owner, and the share of keys moved."""
+
+    overload: float
+    requests: float
+    keys_moved: float
+
+
+def even_rows(owners: Sequence[Instance]) -> tuple[KeyRow, ...]:
+    """Return equal ranges of all keys."""
+    width = KEY_COUNT // len(owners)
+    rows = [
+        KeyRow(number * width, (number + 1) * width - 1, owner, 1)
+        for number, owner in enumerate(owners)
+    ]
+    rows[-1] = rows[-1]._replace(last=KEY_COUNT - 1)
+    return tuple(rows)
+
+
+def simulate(owners: Owners, count: int, seed: int) -> Outcome:
+    """Play requests at 65% of the capacity of ``count`` owners."""
+    rng = random.Random(seed)
+    per_step = round(LOAD * CAPACITY * count * STEP_S)
+    popular: list[int] = []
+    overload = moved = requests = 0.0
+    shifted_at = -SHIFT_S
+    for step in range(round(LENGTH_S / STEP_S)):
+        now = step * STEP_S
+        if now - shifted_at >= SHIFT_S:
+            shifted_at = now
+            start = rng.randrange(KEY_COUNT - POPULAR_KEYS)
+            popular = list(range(start, start + POPULAR_KEYS))
+        keys = [
+            rng.choice(popular)
+            if rng.random() < POPULAR_SHARE
+            else rng.randrange(KEY_COUNT)
+            for _ in range(per_step)
+        ]
+        served: dict[Instance, int] = {}
+        for key in keys:
+            owner = next(row.owner for row in owners.rows if row.last >= key)
+            served[owner] = served.get(owner, 0) + 1
+        room = CAPACITY * STEP_S
+        overload += sum(max(0.0, one - room) for one in served.values())
+        requests += per_step
+        before = owners.rows
+        owners.follow([KeyLoad(key, 1) for key in keys], now)
+        moved += keys_changed(before, owners.rows)
+    return Outcome(overload, requests, moved / KEY_COUNT)
+
+
+def keys_changed(before: Sequence[KeyRow], after: Sequence[KeyRow]) -> int:
+    """Return how many keys were given to another owner."""
+    targets = {row.first: row.target for row in before if row.target != NOBODY}
+    return sum(
+        row.last - row.first + 1 for row in after if targets.get(row.first) == row.owner
+    )
