Refuse late hops of a router that is being stopped

Cause: other routers hold many idle connections to a router and use one after the other, each of which is closed after its next answer only. While the keys of a stopping router stay, because the others have no room, hops arrive until its time is up, and those in flight at 5.4 s were cut with their upstream at work (LOST).

Ruled out: a second SIGTERM during the stop (both rolls stop each machine once at a time), a kill at the end of the grace (every stop ended before it).

After the linger, a hop is refused as not run, like one to a router that is down; those that have begun end as before.

--- a/src/sassafraswharf/gateway/hop_server.py
+++ b/src/sassafraswharf/gateway/hop_server.py
@@ -35,8 +35,10 @@
 class HopServer:
     """The other routers' way to the upstream of this host.
 
-    Answers carry how busy the upstream is. While the process stops they close
-    their connections, so that the other routers send elsewhere.
+    Answers carry how busy the upstream is. While the process stops (``closing``)
+    they close their connections, so that the other routers send elsewhere. Those
+    hold many idle connections, so requests arrive until the end; late ones are
+    refused (``refusing``), since their answers would be cut.
     """
 
     def __init__(
@@ -52,6 +54,7 @@
         self.clock = clock
         self.log = log
         self.closing = False
+        self.refusing = False
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Run one forwarded request."""
@@ -61,6 +64,9 @@
         if hop is None or local is None:
             message = "not a forwarded request"
             return self.reject(Rejection(ResultCode.BAD_REQUEST, message, True))
+        if self.refusing:
+            message = "the router is being stopped"
+            return self.reject(Rejection(ResultCode.NO_UPSTREAM, message, True))
         work = await self.read(request, hop)
         try:
             async with asyncio.timeout(hop.terms.deadline_at - now):
--- a/src/sassafraswharf/gateway/router_node.py
+++ b/src/sassafraswharf/gateway/router_node.py
@@ -174,6 +174,7 @@
         self.link.report_now()
         self.log.record("stopping")
         await asyncio.sleep(min(LINGER_S, self.node.terms.grace_s / 2))
+        self.hop_server.refusing = True
         left_s = self.node.terms.grace_s - FINISH_MARGIN_S
         left_s = max(0.0, left_s - (self.clock.now() - began))
         await asyncio.gather(self.callers.finish(left_s), self.routers.finish(left_s))
