Share the checks of envelopes and drop work done twice

The weight of a row and the digest of an answered suspect are computed once.

Behaviour is as before, but for the text of error 6002 of an authenticated message: its size counts the MAC now, as the limit does. No test changed but for an import.

--- a/src/sassafraswharf/fleet/key_placement.py
+++ b/src/sassafraswharf/fleet/key_placement.py
@@ -215,11 +215,10 @@
         After many moves an upstream may own many small rows, none of which has
         the weight of a move.
         """
-        within = [
-            (self.weights.between(row.first, row.last), row.first, row)
-            for row in rows
-            if self.weights.between(row.first, row.last) <= weight
+        weighed = [
+            (self.weights.between(row.first, row.last), row.first, row) for row in rows
         ]
+        within = [one for one in weighed if one[0] <= weight]
         if not within:
             return None
         heaviest, _, row = max(within)
--- a/src/sassafraswharf/gateway/connection_pool.py
+++ b/src/sassafraswharf/gateway/connection_pool.py
@@ -10,6 +10,7 @@
 
 if TYPE_CHECKING:
     from sassafraswharf.clock import Clock
+    from sassafraswharf.gateway.http_connection import ResponseHead
 
 
 CONNECT_TIMEOUT_S: Final = 0.4
@@ -78,3 +79,19 @@
         for connection in self.idle:
             connection.abort()
         self.idle.clear()
+
+
+def idle_limit_s(response: ResponseHead) -> float:
+    """Return for how long the upstream keeps the connection, as far as it says.
+
+    >>> from multidict import CIMultiDict, CIMultiDictProxy
+    >>> from sassafraswharf.gateway.http_connection import ResponseHead
+    >>> fields = CIMultiDictProxy(CIMultiDict({"Keep-Alive": "timeout=5"}))
+    >>> idle_limit_s(ResponseHead(200, fields, None))
+    4.0
+    """
+    for part in response.headers.get("Keep-Alive", "").split(","):
+        name, _, value = part.strip().partition("=")
+        if name.lower() == "timeout" and value.strip().isdecimal():
+            return max(0.0, float(value) - 1.0)
+    return IDLE_LIMIT_S
--- a/src/sassafraswharf/gateway/crash_evidence.py
+++ b/src/sassafraswharf/gateway/crash_evidence.py
@@ -87,8 +87,11 @@
 
     def on_success(self, work: Work, now: float) -> None:
         """Note an answer; a suspect that gets one is harmless."""
-        if self.crashes_of(work):
-            self.harmless[digest_of(work)] = now
+        if not self.suspects or work.rest is not None:
+            return
+        digest = digest_of(work)
+        if digest in self.suspects:
+            self.harmless[digest] = now
             if len(self.harmless) > MAX_HARMLESS:
                 del self.harmless[next(iter(self.harmless))]
 
--- a/src/sassafraswharf/gateway/local_upstream.py
+++ b/src/sassafraswharf/gateway/local_upstream.py
@@ -15,8 +15,8 @@
 from sassafraswharf.codes import ResultCode
 from sassafraswharf.exceptions import ExchangeError
 from sassafraswharf.gateway.admission_queue import AdmissionQueue
-from sassafraswharf.gateway.connection_pool import IDLE_LIMIT_S
 from sassafraswharf.gateway.connection_pool import ConnectionPool
+from sassafraswharf.gateway.connection_pool import idle_limit_s
 from sassafraswharf.gateway.heartbeat import Heartbeat
 from sassafraswharf.gateway.message_text import read_body
 from sassafraswharf.gateway.message_text import request_head
@@ -383,19 +383,3 @@
         """Return how busy the upstream is now."""
         queue = self.queue
         return LoadHint(queue.running, len(queue.waiting), queue.limit, queue.service_s)
-
-
-def idle_limit_s(response: ResponseHead) -> float:
-    """Return for how long the upstream keeps the connection, as far as it says.
-
-    >>> from multidict import CIMultiDict, CIMultiDictProxy
-    >>> from sassafraswharf.gateway.http_connection import ResponseHead
-    >>> fields = CIMultiDictProxy(CIMultiDict({"Keep-Alive": "timeout=5"}))
-    >>> idle_limit_s(ResponseHead(200, fields, None))
-    4.0
-    """
-    for part in response.headers.get("Keep-Alive", "").split(","):
-        name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.strip().isdecimal():
-            return max(0.0, float(value) - 1.0)
-    return IDLE_LIMIT_S
--- a/src/sassafraswharf/peering/plain_sealer.py
+++ b/src/sassafraswharf/peering/plain_sealer.py
@@ -10,16 +10,19 @@
 from result import Ok
 
 from sassafraswharf.codes import ResultCode
-from sassafraswharf.failure import Failure
-from sassafraswharf.transport.authenticator import SIZE_LIMIT_BYTES
 from sassafraswharf.transport.envelope import PROTOCOL_VERSION
-from sassafraswharf.transport.envelope import Channel
 from sassafraswharf.transport.envelope import Envelope
+from sassafraswharf.transport.envelope_codec import decode_envelope
+from sassafraswharf.transport.envelope_codec import is_too_large
+from sassafraswharf.transport.envelope_codec import rejection
+from sassafraswharf.transport.envelope_codec import sendable
 
 
 if TYPE_CHECKING:
     from result import Result
 
+    from sassafraswharf.failure import Failure
+    from sassafraswharf.transport.envelope import Channel
     from sassafraswharf.transport.envelope import MessageKind
 
 
@@ -34,7 +37,6 @@
     def __init__(self, name: str) -> None:
         """Seal as ``name`` and accept what is addressed to it."""
         self.name = name
-        self.decoder = msgspec.msgpack.Decoder(Envelope)
 
     def seal(
         self,
@@ -60,20 +62,17 @@
                 body,
             )
         )
-        if len(data) > SIZE_LIMIT_BYTES[channel]:
-            message = f"message of {len(data)} bytes exceeds the limit of the channel"
-            return Err(Failure(ResultCode.MESSAGE_TOO_LARGE, message))
-        return Ok(data)
+        return sendable(channel, data)
 
     def open(self, channel: Channel, data: bytes) -> Result[Envelope, Failure]:
         """Return the envelope, or 6001 or 6002 for dropping the message."""
-        if len(data) > SIZE_LIMIT_BYTES[channel]:
-            return Err(Failure(ResultCode.MESSAGE_TOO_LARGE, "message is too large"))
-        try:
-            envelope = self.decoder.decode(data)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            return Err(Failure(ResultCode.MESSAGE_MALFORMED, str(error)))
+        if is_too_large(channel, data):
+            return rejection(ResultCode.MESSAGE_TOO_LARGE, "message is too large")
+        decoded = decode_envelope(data)
+        if isinstance(decoded, Err):
+            return decoded
+        envelope = decoded.ok_value
         if envelope.version != PROTOCOL_VERSION or envelope.recipient != self.name:
             message = f"version {envelope.version} for {envelope.recipient!r}"
-            return Err(Failure(ResultCode.MESSAGE_MALFORMED, message))
+            return rejection(ResultCode.MESSAGE_MALFORMED, message)
         return Ok(envelope)
--- a/src/sassafraswharf/transport/authenticator.py
+++ b/src/sassafraswharf/transport/authenticator.py
@@ -13,15 +13,19 @@
 from result import Ok
 
 from sassafraswharf.codes import ResultCode
-from sassafraswharf.failure import Failure
 from sassafraswharf.transport.envelope import PROTOCOL_VERSION
 from sassafraswharf.transport.envelope import Channel
 from sassafraswharf.transport.envelope import Envelope
+from sassafraswharf.transport.envelope_codec import decode_envelope
+from sassafraswharf.transport.envelope_codec import is_too_large
+from sassafraswharf.transport.envelope_codec import rejection
+from sassafraswharf.transport.envelope_codec import sendable
 
 
 if TYPE_CHECKING:
     from result import Result
 
+    from sassafraswharf.failure import Failure
     from sassafraswharf.transport.envelope import MessageKind
 
 
@@ -29,11 +33,6 @@
 MINIMUM_KEY_BYTES = 16
 MAXIMUM_KEY_BYTES = 64
 MAXIMUM_SENDERS = 16_384
-SIZE_LIMIT_BYTES = {
-    Channel.CONTROL: 1_048_576 + 1_024,
-    Channel.LEASE: 1_200,
-    Channel.JOURNAL: 4_194_304,
-}
 
 
 class Authenticator:
@@ -59,7 +58,6 @@
         self.sequences = dict.fromkeys(Channel, 0)
         self.seen: dict[tuple[str, Channel], tuple[int, int]] = {}
         self.encoder = msgspec.msgpack.Encoder()
-        self.decoder = msgspec.msgpack.Decoder(Envelope)
 
     def seal(
         self,
@@ -86,27 +84,19 @@
                 body,
             )
         )
-        if len(data) + MAC_BYTES > SIZE_LIMIT_BYTES[channel]:
-            return Err(
-                Failure(
-                    ResultCode.MESSAGE_TOO_LARGE,
-                    f"message of {len(data)} bytes exceeds the limit of the channel",
-                )
-            )
-        return Ok(data + self.mac(data))
+        return sendable(channel, data + self.mac(data))
 
     def open(self, channel: Channel, data: bytes) -> Result[Envelope, Failure]:
         """Return the envelope, or 6001 to 6004 with the reason for dropping it."""
-        if len(data) > SIZE_LIMIT_BYTES[channel]:
+        if is_too_large(channel, data):
             return rejection(ResultCode.MESSAGE_TOO_LARGE, "message is too large")
         payload, mac = data[:-MAC_BYTES], data[-MAC_BYTES:]
         if not hmac.compare_digest(self.mac(payload), mac):
             return rejection(ResultCode.MESSAGE_UNAUTHENTICATED, "wrong MAC")
-        try:
-            envelope = self.decoder.decode(payload)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            return rejection(ResultCode.MESSAGE_MALFORMED, str(error))
-        return self.accept(channel, envelope)
+        decoded = decode_envelope(payload)
+        if isinstance(decoded, Err):
+            return decoded
+        return self.accept(channel, decoded.ok_value)
 
     def accept(self, channel: Channel, envelope: Envelope) -> Result[Envelope, Failure]:
         """Check version, channel, recipient and freshness of an envelope."""
@@ -134,8 +124,3 @@
     def mac(self, data: bytes) -> bytes:
         """Return the keyed BLAKE2b MAC of ``data``."""
         return blake2b(data, digest_size=MAC_BYTES, key=self.key).digest()
-
-
-def rejection(code: ResultCode, message: str) -> Err[Failure]:
-    """Return the result that tells why a message was dropped."""
-    return Err(Failure(code, message))
--- a/src/sassafraswharf/transport/mailbox.py
+++ b/src/sassafraswharf/transport/mailbox.py
@@ -18,9 +18,9 @@
 from sassafraswharf.codes import ResultCode
 from sassafraswharf.exceptions import TransportError
 from sassafraswharf.failure import Failure
-from sassafraswharf.transport.authenticator import SIZE_LIMIT_BYTES
 from sassafraswharf.transport.envelope import Channel
 from sassafraswharf.transport.envelope import MessageKind
+from sassafraswharf.transport.envelope_codec import SIZE_LIMIT_BYTES
 
 
 if TYPE_CHECKING:
--- a/tests/peering/test_plain_sealer.py
+++ b/tests/peering/test_plain_sealer.py
@@ -6,9 +6,9 @@
 
 from sassafraswharf.codes import ResultCode
 from sassafraswharf.peering.plain_sealer import PlainSealer
-from sassafraswharf.transport.authenticator import SIZE_LIMIT_BYTES
 from sassafraswharf.transport.envelope import Channel
 from sassafraswharf.transport.envelope import MessageKind
+from sassafraswharf.transport.envelope_codec import SIZE_LIMIT_BYTES
 
 
 A = PlainSealer("10.0.0.1")
