Log early refusals, failed reports and routers that lag

The logs could not tell the hypotheses of docs/incidents/denied.md apart: a request refused before an upstream is chosen (404, 400, 413, and what aiohttp refuses unread) left neither a line nor a count, a failed report only its first failure, and no line said how far a router was behind.

New lines: turned_away, malformed, report_failed (phase, time, bytes received), configuration_gap, routers_behind and long_reply; configuration_in_force also tells the version before, the number of changes and the time taken. New metrics: sassafraswharf_reports and sassafraswharf_report_answers_bytes; the codes of sassafraswharf_requests include the early refusals. No logic is changed.

--- a/src/sassafraswharf/fleet/control_node.py
+++ b/src/sassafraswharf/fleet/control_node.py
@@ -68,6 +68,9 @@
 FIRST_START_MARKER: Final = "first-start"
 PROPOSAL_TIMEOUT_S: Final = 3.0
 PLANNING_S: Final = 0.1
+LONG_REPLY_BYTES: Final = 32_768
+"""Answers to routers above this size are logged."""
+LAG_PERIOD_S: Final = 1.0
 PEER_SILENT_S: Final = 1.2
 """A connection between control hosts without messages for this long is replaced,
 since it may have gone silent for good."""
@@ -122,6 +125,7 @@
         self.news = ChangeSignal()
         self.due = asyncio.Event()
         self.heard_at: dict[str, float] = {}
+        self.lag_noted_at = 0.0
         self.dialled_at: dict[str, float] = {}
         self.mailbox = Mailbox(
             f"{node.address}:{node.first_peer_port + 1}",
@@ -302,7 +306,18 @@
             self.log.record("report_refused", why=str(error))
             return web.Response(status=400)
         reply = await self.sync(report)
-        return web.Response(body=msgspec.msgpack.encode(reply))
+        body = msgspec.msgpack.encode(reply)
+        if len(body) > LONG_REPLY_BYTES:
+            self.log.record(
+                "long_reply",
+                router=report.host,
+                bytes=len(body),
+                plan=report.plan_version,
+                changes=len(reply.plan),
+                whole=any(one.is_whole for one in reply.plan),
+                fleet=report.fleet_version,
+            )
+        return web.Response(body=body)
 
     async def sync(self, report: SyncRequest) -> SyncReply:
         """Take a report; answer when there is news or ``hold_s`` has passed."""
@@ -340,8 +355,31 @@
                 pass
             self.due.clear()
             if self.group.is_current_leader():
+                self.note_lag()
                 await self.commit_next_change()
 
+    def note_lag(self) -> None:
+        """Log the routers that follow an older configuration for long."""
+        now = self.clock.now()
+        if now - self.lag_noted_at < LAG_PERIOD_S:
+            return
+        self.lag_noted_at = now
+        newest = self.state.plan.version
+        sessions = self.coordinator.live_sessions(now)
+        behind = [one for one in sessions if one.request.plan_version < newest]
+        if not behind:
+            return
+        oldest = min(behind, key=lambda one: one.request.plan_version)
+        self.log.record(
+            "routers_behind",
+            routers=len(behind),
+            of=len(sessions),
+            version=newest,
+            oldest=oldest.request.plan_version,
+            oldest_host=oldest.request.host,
+            oldest_heard_s=round(now - oldest.heard_at, 2),
+        )
+
     async def commit_next_change(self) -> None:
         """Commit one change of the fleet, if there is one."""
         keyed = [
--- a/src/sassafraswharf/gateway/control_link.py
+++ b/src/sassafraswharf/gateway/control_link.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from collections import Counter
 from typing import TYPE_CHECKING
 from typing import Final
 
@@ -20,6 +21,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from aiohttp.streams import StreamReader
+
     from sassafraswharf.clock import Clock
     from sassafraswharf.fleet.sync import Suspect
     from sassafraswharf.fleet.sync import SyncRequest
@@ -35,6 +38,23 @@
 MIN_PERIOD_S: Final = 0.05
 
 
+class ReportCost:
+    """How far one report came, for the decision log and the metrics."""
+
+    __slots__ = ("began", "content", "phase")
+
+    def __init__(self, now: float) -> None:
+        """Start before the connection is opened."""
+        self.began = now
+        self.phase = "connect"
+        self.content: StreamReader | None = None
+
+    @property
+    def received_bytes(self) -> int:
+        """Return how much of the body of the answer has arrived."""
+        return self.content.total_bytes if self.content is not None else 0
+
+
 class ControlLink:
     """Reports to the leader again and again.
 
@@ -73,6 +93,8 @@
         self.tasks: list[asyncio.Task[None]] = []
         self.connected = False
         self.has_table = False
+        self.outcomes: Counter[str] = Counter()
+        self.received_bytes = 0
 
     def start(self) -> None:
         """Start to report."""
@@ -123,6 +145,7 @@
         """Send one report; return the connection to keep and whether it worked."""
         address = self.leader
         sent_at = self.clock.now()
+        cost = ReportCost(sent_at)
         try:
             if connection is not None and (
                 not connection.is_reusable or connection.peer != address
@@ -135,19 +158,24 @@
                 )
             sent_at = self.clock.now()
             async with asyncio.timeout(hold_s + ANSWER_TIMEOUT_S):
-                reply = await self.ask(connection, hold_s)
+                reply = await self.ask(connection, hold_s, cost)
         except (OSError, TimeoutError, ExchangeError, ClientPayloadError) as error:
-            self.on_silence(address, error)
+            self.on_silence(address, error, cost)
         except msgspec.DecodeError as error:
-            self.on_silence(address, error)
+            self.on_silence(address, error, cost)
         else:
+            self.outcomes["answered"] += 1
+            self.received_bytes += cost.received_bytes
             return connection, self.take(address, reply, sent_at)
         if connection is not None:
             connection.abort()
         return None, False
 
-    async def ask(self, connection: HttpConnection, hold_s: float) -> SyncReply:
+    async def ask(
+        self, connection: HttpConnection, hold_s: float, cost: ReportCost
+    ) -> SyncReply:
         """Run one exchange."""
+        cost.phase = "head"
         self.sequence += 1
         body = msgspec.msgpack.encode(self.make_report(hold_s, self.sequence))
         head = (
@@ -156,6 +184,8 @@
         )
         connection.begin(head.encode(), body)
         response = await connection.receive()
+        cost.phase = "body"
+        cost.content = response.content
         content = await response.content.read()
         connection.finish()
         if response.status != STATUS_OK:
@@ -192,11 +222,27 @@
             return known[0]
         return known[(known.index(address) + 1) % len(known)]
 
-    def on_silence(self, address: str, error: BaseException) -> None:
-        """Ask another control host after one that has not answered."""
+    def on_silence(self, address: str, error: BaseException, cost: ReportCost) -> None:
+        """Ask another control host after one that has not answered.
+
+        Every failed report has a line with how much of the answer had arrived: an
+        answer that is too long for its time differs from a silent host by that.
+        """
+        why = str(error) or type(error).__name__
+        self.outcomes[cost.phase] += 1
+        self.received_bytes += cost.received_bytes
+        self.log.record(
+            "report_failed",
+            leader=address,
+            phase=cost.phase,
+            why=why,
+            after_ms=int((self.clock.now() - cost.began) * 1000),
+            received_bytes=cost.received_bytes,
+            plan=self.view.plan.version,
+            fleet=self.view.fleet.version,
+        )
         if self.connected:
             self.connected = False
-            why = str(error) or type(error).__name__
             self.log.record("control_lost", leader=address, why=why)
         if self.leader == address:
             self.leader = self.next_after(address)
--- a/src/sassafraswharf/gateway/fleet_view.py
+++ b/src/sassafraswharf/gateway/fleet_view.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+
 from typing import TYPE_CHECKING
 
 from result import Ok
@@ -36,10 +38,18 @@
     def take_plan(self, changes: Iterable[PlanChange]) -> None:
         """Apply changes of the configuration in order."""
         plan = self.plan
+        began = time.monotonic()
+        applied_changes = 0
         for change in changes:
             if change.version <= plan.version:
                 continue
             if not change.is_whole and change.base_version != plan.version:
+                self.log.record(
+                    "configuration_gap",
+                    version=plan.version,
+                    base=change.base_version,
+                    next=change.version,
+                )
                 return
             applied = plan.apply(change)
             if not isinstance(applied, Ok):
@@ -50,11 +60,20 @@
                 )
                 return
             plan = applied.ok_value
+            applied_changes += 1
         if plan is self.plan:
             return
+        before = self.plan.version
         self.plan = plan
         self.routes = RouteTable(plan.plan)
-        self.log.record("configuration_in_force", version=plan.version)
+        self.log.record(
+            "configuration_in_force",
+            version=plan.version,
+            before=before,
+            changes=applied_changes,
+            routes=len(plan.plan.routes),
+            took_ms=round((time.monotonic() - began) * 1000),
+        )
         self.changed.notify()
 
     def take_fleet(self, changes: Iterable[VersionedFleet]) -> None:
--- a/src/sassafraswharf/gateway/hop_server.py
+++ b/src/sassafraswharf/gateway/hop_server.py
@@ -56,6 +56,10 @@
         self.closing = False
         self.refusing = False
 
+    def on_malformed(self, reason: str) -> None:
+        """Log a forwarded request that the HTTP library refused unread."""
+        self.log.record("malformed", sender="router", why=reason)
+
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Run one forwarded request."""
         now = self.clock.now()
--- a/src/sassafraswharf/gateway/ingress.py
+++ b/src/sassafraswharf/gateway/ingress.py
@@ -47,6 +47,8 @@
 OVERFLOW_TRIES: Final = 2
 """Upstreams that are asked for room before a request is refused as overload."""
 SUCCESS_SAMPLE: Final = 64
+MAX_LOGGED_TEXT: Final = 120
+"""Characters of a caller's text that a line of the log repeats."""
 
 UPSTREAM_FAILURES: Final = frozenset(
     {
@@ -112,10 +114,10 @@
         request_id = request.headers.get(self.names.request_id, "")
         target = self.reader.find_target(request)
         if isinstance(target, Rejection):
-            return self.refuse(request_id, target, "-")
+            return self.turn_away(request, request_id, target, "-")
         work = await self.reader.read_work(request, request_id, target, now)
         if isinstance(work, Rejection):
-            return self.refuse(request_id, work, target.route.name)
+            return self.turn_away(request, request_id, work, target.route.name)
         progress = Progress()
         try:
             async with asyncio.timeout(work.terms.deadline_at - now):
@@ -149,6 +151,38 @@
         )
         return self.refuse(request_id, outcome.err_value, target.route.name)
 
+    def turn_away(
+        self,
+        request: web.BaseRequest,
+        request_id: str,
+        rejection: Rejection,
+        route: str,
+    ) -> web.StreamResponse:
+        """Refuse a request before any upstream is chosen for it.
+
+        The line names the version that decided, since another version may allow
+        the request.
+        """
+        self.tally.codes[str(int(rejection.code))] += 1
+        self.log.record(
+            "turned_away",
+            request=request_id,
+            method=request.method,
+            authority=request.headers.get("Host", "")[:MAX_LOGGED_TEXT],
+            path=request.raw_path[:MAX_LOGGED_TEXT],
+            route=route,
+            key=request.headers.get(self.names.key, "")[:MAX_LOGGED_TEXT],
+            code=int(rejection.code),
+            why=rejection.message,
+            plan=self.view.plan.version,
+        )
+        return self.refuse(request_id, rejection, route)
+
+    def on_malformed(self, reason: str) -> None:
+        """Count and log a request that the HTTP library refused unread."""
+        self.tally.codes[str(int(ResultCode.BAD_REQUEST))] += 1
+        self.log.record("malformed", sender="caller", why=reason)
+
     def refuse(
         self, request_id: str, rejection: Rejection, route: str
     ) -> web.StreamResponse:
--- a/src/sassafraswharf/gateway/router_metrics.py
+++ b/src/sassafraswharf/gateway/router_metrics.py
@@ -26,6 +26,16 @@
         lambda: labelled("reason", tally.attempts),
         "Further attempts after the first one",
     )
+    metrics.observe(
+        "sassafraswharf_reports",
+        lambda: labelled("outcome", router.link.outcomes),
+        "Reports to the control group that were answered, or where they failed",
+    )
+    metrics.observe(
+        "sassafraswharf_report_answers_bytes",
+        lambda: [(router.link.received_bytes, {})],
+        "Bytes of answers to reports, those of failed ones included",
+    )
     metrics.observe(
         "sassafraswharf_route_requests",
         lambda: labelled("route", tally.routes),
--- a/src/sassafraswharf/gateway/router_node.py
+++ b/src/sassafraswharf/gateway/router_node.py
@@ -126,18 +126,25 @@
             self.on_suspects,
         )
         self.crashes.on_crash = self.on_crash
-        self.callers = self.create_server(self.ingress.handle)
-        self.routers = self.create_server(self.hop_server.handle)
+        self.callers = self.create_server(
+            self.ingress.handle, self.ingress.on_malformed
+        )
+        self.routers = self.create_server(
+            self.hop_server.handle, self.hop_server.on_malformed
+        )
         self.stopping = False
         self.tasks: list[asyncio.Task[None]] = []
 
-    def create_server(self, handler: Handler) -> HttpServer:
+    def create_server(
+        self, handler: Handler, on_malformed: Callable[[str], None]
+    ) -> HttpServer:
         """Return a server with the limits of this process."""
         return HttpServer(
             handler,
             max_body_bytes=MAX_BODY_BYTES,
             max_header_bytes=MAX_HEADER_BYTES,
             header_timeout_s=HEADER_TIMEOUT_S,
+            on_malformed=on_malformed,
         )
 
     def make_budget(self) -> RepeatBudget:
--- a/src/sassafraswharf/router/http_server.py
+++ b/src/sassafraswharf/router/http_server.py
@@ -38,6 +38,10 @@
 MAX_REASON_CHARACTERS: Final = 100
 
 
+def ignore_malformed(_reason: str) -> None:
+    """Do nothing with the reason of a malformed request."""
+
+
 class GuardedProtocol(web.RequestHandler):
     """Closes a connection that sends the head of a request too slowly.
 
@@ -45,9 +49,10 @@
     send its headers, so that few slow callers could hold many connections.
     """
 
-    __slots__ = ("head_timeout_s", "head_timer")
+    __slots__ = ("head_timeout_s", "head_timer", "on_malformed")
 
     head_timeout_s: float
+    on_malformed: Callable[[str], None]
     head_timer: asyncio.TimerHandle | None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -77,7 +82,8 @@
         """Answer with a numbered code what aiohttp refuses or a handler raised.
 
         The text of aiohttp repeats what the caller sent, so only its first line
-        is used. A malformed request is not logged: callers could fill the log.
+        is used. ``on_malformed`` gets that line and must bound what it logs, since
+        callers could fill the log.
         """
         if status >= FIRST_SERVER_ERROR:
             super().handle_error(request, status, exc, message)
@@ -87,7 +93,9 @@
             # A part of an answer is on its way, so the connection can only end.
             raise ConnectionError("the answer has already begun")
         reason = (message or "malformed request").partition("\n")[0]
-        failure = Failure(ResultCode.BAD_REQUEST, reason[:MAX_REASON_CHARACTERS])
+        reason = reason[:MAX_REASON_CHARACTERS]
+        self.on_malformed(reason)
+        failure = Failure(ResultCode.BAD_REQUEST, reason)
         return to_response(refusal(failure), "", close=True)
 
     def start_head_timer(self) -> None:
@@ -115,8 +123,12 @@
         max_body_bytes: int,
         max_header_bytes: int,
         header_timeout_s: float,
+        on_malformed: Callable[[str], None] = ignore_malformed,
     ) -> None:
-        """Prepare a server that does not listen yet."""
+        """Prepare a server that does not listen yet.
+
+        ``on_malformed`` gets the reason why a request was refused unread.
+        """
         super().__init__(
             self.guard(handler),
             request_factory=self.create_request,
@@ -128,6 +140,7 @@
         )
         self.max_body_bytes = max_body_bytes
         self.header_timeout_s = header_timeout_s
+        self.on_malformed = on_malformed
         self.server: asyncio.Server | None = None
         self.active = 0
         self.idle = asyncio.Event()
@@ -137,6 +150,7 @@
         """Create the protocol of a new connection."""
         protocol = GuardedProtocol(self, loop=self._loop, **self._kwargs)
         protocol.head_timeout_s = self.header_timeout_s
+        protocol.on_malformed = self.on_malformed
         return protocol
 
     def guard(self, handler: Handler) -> Handler:
