Add the failing test of a router behind a narrow link

The test passes 1,640 and 3,000 new routes to a router over a throttled connection and fails on this code: the lease is not renewed for 1.5 s while answers are thrown away.

--- /dev/null
+++ b/tests/gateway/test_narrow_link.py
@@ -0,0 +1,209 @@
+"""A router behind a narrow link follows a configuration that has grown."""
+
+from __future__ import annotations
+
+import asyncio
+
+from typing import TYPE_CHECKING
+from typing import Final
+
+import msgspec
+import pytest
+
+from sassafraswharf.clock import BootClock
+from sassafraswharf.fleet.control_node import ControlNode
+from sassafraswharf.fleet.sync import SyncRequest
+from sassafraswharf.gateway.control_link import ControlLink
+from sassafraswharf.gateway.fleet_view import FleetView
+from sassafraswharf.observability.decision_log import DecisionLog
+from sassafraswharf.platform.documents import DocumentReader
+from sassafraswharf.platform.documents import decode_patch
+from sassafraswharf.platform.documents import decode_replacement
+from sassafraswharf.settings.node_schema import Listen
+from sassafraswharf.settings.node_schema import Node
+from sassafraswharf.settings.node_schema import Terms
+
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from sassafraswharf.routing.plan_document import PlanChange
+
+
+PORT: Final = 17_810
+LEADER: Final = "127.22.0.3"
+NARROW: Final = "127.22.0.4"
+IN_FORCE_S: Final = 2.0
+"""Time in which a change is in force everywhere (``configApply``)."""
+LEASE_LEFT_S: Final = 3.0
+"""Upstreams stop serving keys when the lease of 4.5 s runs out, so it is renewed
+also while much is on its way."""
+
+
+class Leader(ControlNode):
+    """A control host that leads a group of its own."""
+
+    def __init__(self, folder: Path) -> None:
+        node = Node(
+            "core",
+            "a",
+            "r",
+            LEADER,
+            True,
+            str(folder),
+            None,
+            ((LEADER, PORT),),
+            PORT,
+            PORT + 5,
+            Listen(None, None, (LEADER, PORT + 7)),
+            0,
+            0,
+            Terms(),
+        )
+        super().__init__(node, DocumentReader(), BootClock(), DecisionLog("core", -1))
+        self.group.is_current_leader = lambda: True  # type: ignore[method-assign]
+        self.index = 0
+
+    def accept(self, change: PlanChange) -> None:
+        reply = self.state._decide(change)
+        assert reply.code == 0, reply
+        self.news.notify()
+
+
+class NarrowLink:
+    """Passes bytes on, and those to the router at ``bytes_per_s``."""
+
+    def __init__(self, bytes_per_s: float) -> None:
+        self.bytes_per_s = bytes_per_s
+        self.free_at = 0.0
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> asyncio.Server:
+        return await asyncio.start_server(self.accept, NARROW, PORT)
+
+    async def accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        far_reader, far_writer = await asyncio.open_connection(LEADER, PORT)
+        one = asyncio.create_task(self.copy(reader, far_writer, narrow=False))
+        other = asyncio.create_task(self.copy(far_reader, writer, narrow=True))
+        self.tasks |= {one, other}
+
+    async def copy(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        *,
+        narrow: bool,
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            while data := await reader.read(4_096):
+                if narrow:
+                    self.free_at = max(self.free_at, loop.time())
+                    self.free_at += len(data) / self.bytes_per_s
+                    await asyncio.sleep(self.free_at - loop.time())
+                writer.write(data)
+                await writer.drain()
+        except ConnectionError:
+            pass
+        finally:
+            writer.close()
+
+
+def routes(count: int) -> list[dict[str, object]]:
+    return [
+        {
+            "name": f"r-{number * 7_919:07x}",
+            "host": f"host{number * 104_729:07x}.example",
+            "pathPrefix": f"/{number * 1_299_709:08x}/{number * 15_485_863:09x}/",
+            "routeType": "idempotent",
+            "timeout": f"{1_000 + number}ms",
+            "targetLatency": "600ms",
+            "priority": 1,
+            "service": "s",
+            "attempts": 2,
+        }
+        for number in range(count)
+    ]
+
+
+def first_plan() -> PlanChange:
+    document = {
+        "version": "1",
+        "routes": routes(1),
+        "services": [{"name": "s", "healthPath": "/healthz"}],
+    }
+    return decode_replacement(msgspec.json.encode(document)).unwrap()
+
+
+def grown_plan(count: int) -> PlanChange:
+    document = {
+        "version": "2",
+        "baseVersion": "1",
+        "upsert": {"routes": routes(count + 1)[1:]},
+    }
+    return decode_patch(msgspec.json.encode(document)).unwrap()
+
+
+@pytest.mark.parametrize(
+    ("added_routes", "bytes_per_s"),
+    [
+        pytest.param(1_640, 215_000, id="half of a link is free"),
+        pytest.param(3_000, 431_000, id="a larger one on a free link"),
+    ],
+)
+def test_a_grown_configuration_denies_no_proper_request_of_a_router_on_a_narrow_link(
+    added_routes: int, bytes_per_s: int, tmp_path: Path
+) -> None:
+    """Guards against DENIED: a long answer that starts anew when its time is over.
+
+    Such a router stays on the old configuration, refuses the new routes with 404 and
+    loses its lease.
+    """
+
+    async def main() -> None:
+        clock = BootClock()
+        leader = Leader(tmp_path)
+        leader.accept(first_plan())
+        await leader.server.start(LEADER, PORT)
+        link = NarrowLink(bytes_per_s)
+        proxy = await link.start()
+        router = make_router(clock)
+        router.start()
+        try:
+            await wait_for_version(router, 1)
+            leader.accept(grown_plan(added_routes))
+            changed_at = clock.now()
+            while router.view.plan.version != 2:
+                assert clock.now() - changed_at < IN_FORCE_S, router.outcomes
+                assert router.lease_until - clock.now() > LEASE_LEFT_S
+                await asyncio.sleep(0.02)
+            assert router.view.routes is not None
+            assert len(router.view.routes.names) == added_routes + 1
+        finally:
+            await router.stop()
+            proxy.close()
+            for task in link.tasks:
+                task.cancel()
+            await leader.server.stop()
+
+    asyncio.run(main())
+
+
+def make_router(clock: BootClock) -> ControlLink:
+    log = DecisionLog("h", -1)
+    view = FleetView(DocumentReader(), log)
+
+    def report(hold_s: float, sequence: int) -> SyncRequest:
+        return SyncRequest(
+            "h", "ip", "a", 1, sequence, view.plan.version, view.fleet.version, hold_s
+        )
+
+    return ControlLink((NARROW,), PORT, view, clock, log, report, lambda _: None)
+
+
+async def wait_for_version(router: ControlLink, version: int) -> None:
+    async with asyncio.timeout(5.0):
+        while router.view.plan.version < version:
+            await router.view.changed.wait(1.0)
