Send what routers lack in parts that fit into one answer

Callers saw: requests are served as an older version says (CONFIG), for up to 12 s, and routes that the operator had added are refused with 404; keyed lookups are refused since leases run out.

Cause: the answer to a router's report had everything that the router lacked, of any length, within a fixed time of 1.1 s. On a narrow or busy link it was cut off and thrown away, the next report began anew, and the next answer was longer, since more had changed. The same answers renew the leases. Class of fault: a transfer without a bound on its size that has to end within a bound on its time, all or nothing, and that what must be prompt waits for.

The leader's link explains the first second, the routers' own links what follows. The tests of tests/gateway/ test_narrow_link.py failed before: no lease was renewed for 1.5 s.

Ruled out by the same logs: routers that can't apply a change (no configuration_gap, configuration_unreadable; 63 ms at most to apply it), a missing leader (one term).

Change: an answer has at most 24 KB of the configuration and of the fleet, compressed once for all routers with the same version. The router names its transfer and how much it has, so each answer that arrives is progress, also after a lost connection or while newer versions come, and each renews the lease. Many changes of owners are sent as the table when that is shorter. A longer time-out would have kept the waste, and compression alone only moves the size at which it begins.

--- a/src/sassafraswharf/fleet/control_node.py
+++ b/src/sassafraswharf/fleet/control_node.py
@@ -34,11 +34,13 @@
 from sassafraswharf.fleet.fleet_state import decode_plan_reply
 from sassafraswharf.fleet.fleet_state import encode_fleet_change
 from sassafraswharf.fleet.fleet_state import encode_plan_command
+from sassafraswharf.fleet.part_sender import PartSender
 from sassafraswharf.fleet.read_api import PREFIX
 from sassafraswharf.fleet.read_api import ReadApi
 from sassafraswharf.fleet.sync import REQUEST_DECODER
 from sassafraswharf.fleet.sync import SyncReply
 from sassafraswharf.fleet.sync import SyncRequest
+from sassafraswharf.fleet.transfer import PART_BYTES
 from sassafraswharf.identifiers import GroupId
 from sassafraswharf.identifiers import ReplicaId
 from sassafraswharf.peering.plain_sealer import PlainSealer
@@ -53,6 +55,7 @@
 if TYPE_CHECKING:
     from sassafraswharf.clock import Clock
     from sassafraswharf.consensus.messages import ConsensusMessage
+    from sassafraswharf.fleet.transfer import TransferPart
     from sassafraswharf.observability.decision_log import DecisionLog
     from sassafraswharf.routing.plan_document import PlanChange
     from sassafraswharf.routing.plan_document import PlanDocument
@@ -68,7 +71,7 @@
 FIRST_START_MARKER: Final = "first-start"
 PROPOSAL_TIMEOUT_S: Final = 3.0
 PLANNING_S: Final = 0.1
-LONG_REPLY_BYTES: Final = 32_768
+LONG_REPLY_BYTES: Final = 2 * PART_BYTES
 """Answers to routers above this size are logged."""
 LAG_PERIOD_S: Final = 1.0
 PEER_SILENT_S: Final = 1.2
@@ -126,6 +129,8 @@
         self.due = asyncio.Event()
         self.heard_at: dict[str, float] = {}
         self.lag_noted_at = 0.0
+        self.plan_sender = PartSender(self.state.encoded_plan_since)
+        self.fleet_sender = PartSender(self.state.encoded_fleet_since)
         self.dialled_at: dict[str, float] = {}
         self.mailbox = Mailbox(
             f"{node.address}:{node.first_peer_port + 1}",
@@ -235,6 +240,8 @@
         """Start or stop to coordinate the fleet."""
         self.log.record("leadership", leads=is_leader, term=term)
         self.coordinator.start_term(self.clock.now())
+        self.plan_sender.clear()
+        self.fleet_sender.clear()
         self.news.notify()
         self.due.set()
 
@@ -313,8 +320,6 @@
                 router=report.host,
                 bytes=len(body),
                 plan=report.plan_version,
-                changes=len(reply.plan),
-                whole=any(one.is_whole for one in reply.plan),
                 fleet=report.fleet_version,
             )
         return web.Response(body=body)
@@ -339,11 +344,29 @@
             self.leader_address,
             self.control_addresses,
             self.coordinator.timing.lease_s if leads else 0.0,
-            tuple(state.plan_since(report.plan_version)) if leads else (),
-            tuple(state.fleet_since(report.fleet_version)) if leads else (),
+            self.plan_part(report) if leads else None,
+            self.fleet_part(report) if leads else None,
             self.coordinator.suspects_for(report, self.clock.now()) if leads else None,
         )
 
+    def plan_part(self, report: SyncRequest) -> TransferPart | None:
+        """Return what a router needs next of the configuration."""
+        newest = self.state.plan.version
+        if not report.takes_plan or report.plan_version >= newest:
+            return None
+        return self.plan_sender.part_for(
+            report.plan_version, newest, report.plan_cursor
+        )
+
+    def fleet_part(self, report: SyncRequest) -> TransferPart | None:
+        """Return what a router needs next of the fleet."""
+        newest = self.state.fleet.version
+        if report.fleet_version >= newest:
+            return None
+        return self.fleet_sender.part_for(
+            report.fleet_version, newest, report.fleet_cursor
+        )
+
     async def plan_fleet(self) -> None:
         """Commit the coordinator's changes one after the other while leading."""
         while True:
--- a/src/sassafraswharf/fleet/fleet_state.py
+++ b/src/sassafraswharf/fleet/fleet_state.py
@@ -156,9 +156,21 @@
             return []
         newer = [one for one in self.fleet_history if one.version > version]
         oldest = self.fleet_history[0].version if self.fleet_history else 0
-        if version and version >= oldest:
+        whole = self.fleet.snapshot()
+        # Each change of owners has all rows of its service, so that many changes
+        # are longer than the table.
+        is_shorter = sum(size_of(one.change) for one in newer) <= size_of(whole)
+        if version and version >= oldest and is_shorter:
             return newer
-        return [VersionedFleet(self.fleet.version, self.fleet.snapshot())]
+        return [VersionedFleet(self.fleet.version, whole)]
+
+    def encoded_plan_since(self, version: int) -> bytes:
+        """Return ``plan_since`` for a transfer."""
+        return msgspec.msgpack.encode(self.plan_since(version))
+
+    def encoded_fleet_since(self, version: int) -> bytes:
+        """Return ``fleet_since`` for a transfer."""
+        return msgspec.msgpack.encode(self.fleet_since(version))
 
     def snapshot(self) -> bytes:
         """Return the whole state."""
@@ -186,6 +198,12 @@
         self.audit = deque(stored.audit, maxlen=MAX_AUDIT_ENTRIES)
 
 
+def size_of(change: FleetChange) -> int:
+    """Return the number of entries of a change."""
+    rows = sum(len(one.rows) for one in change.rows)
+    return len(change.upstreams) + len(change.removed) + rows
+
+
 def encode_plan_command(command: PlanCommand) -> bytes:
     """Return the log entry of an operator's change."""
     return bytes([CommandKind.PLAN]) + msgspec.msgpack.encode(command)
--- /dev/null
+++ b/src/sassafraswharf/fleet/part_sender.py
@@ -0,0 +1,95 @@
+"""Sends changes that a receiver lacks in parts of bounded size."""
+
+from __future__ import annotations
+
+import zlib
+
+from collections import OrderedDict
+from typing import TYPE_CHECKING
+from typing import Final
+from typing import NamedTuple
+
+import xxhash
+
+from sassafraswharf.fleet.transfer import PART_BYTES
+from sassafraswharf.fleet.transfer import TransferPart
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sassafraswharf.fleet.transfer import Cursor
+
+
+MAX_KEPT_BYTES: Final = 8_388_608
+MAX_KEPT: Final = 128
+FAST_COMPRESSION: Final = 1
+
+
+class Transfer(NamedTuple):
+    """Compressed changes from one version to another."""
+
+    base: int
+    target: int
+    identity: int
+    content: bytes
+
+
+class PartSender:
+    """Answers each receiver with the part that follows what it has.
+
+    What was received counts although the connection was lost or a newer version
+    has come since: the receiver names its transfer, and goes on with it to its end.
+    So a receiver makes progress with each message that arrives, however long the
+    whole is. Transfers are compressed once for all receivers with the same version
+    and kept up to ``MAX_KEPT_BYTES``; one that is no longer kept, or that another
+    sender began, is begun anew.
+    """
+
+    def __init__(self, changes_since: Callable[[int], bytes]) -> None:
+        """Send what ``changes_since`` returns for the version of a receiver."""
+        self.changes_since = changes_since
+        self.kept: OrderedDict[tuple[int, int], Transfer] = OrderedDict()
+        self.by_identity: dict[int, Transfer] = {}
+        self.kept_bytes = 0
+
+    def part_for(self, base: int, target: int, cursor: Cursor | None) -> TransferPart:
+        """Return the next part on the way from version ``base`` to ``target``."""
+        transfer = self.by_identity.get(cursor.identity) if cursor else None
+        offset = cursor.received if cursor else 0
+        if transfer is None or transfer.base != base or offset > len(transfer.content):
+            transfer = self.begin(base, target)
+            offset = 0
+        data = transfer.content[offset : offset + PART_BYTES]
+        return TransferPart(transfer.identity, len(transfer.content), offset, data)
+
+    def begin(self, base: int, target: int) -> Transfer:
+        """Return the transfer between two versions, and keep it."""
+        place = (base, target)
+        known = self.kept.get(place)
+        if known is not None:
+            self.kept.move_to_end(place)
+            return known
+        content = zlib.compress(self.changes_since(base), FAST_COMPRESSION)
+        identity = xxhash.xxh3_64_intdigest(content)
+        transfer = Transfer(base, target, identity, content)
+        self.kept[place] = self.by_identity[identity] = transfer
+        self.kept_bytes += len(content)
+        self.forget_oldest()
+        return transfer
+
+    def forget_oldest(self) -> None:
+        """Keep the bounds, but always the newest transfer."""
+        while len(self.kept) > 1 and (
+            self.kept_bytes > MAX_KEPT_BYTES or len(self.kept) > MAX_KEPT
+        ):
+            _, oldest = self.kept.popitem(last=False)
+            self.kept_bytes -= len(oldest.content)
+            if self.by_identity.get(oldest.identity) is oldest:
+                del self.by_identity[oldest.identity]
+
+    def clear(self) -> None:
+        """Forget all transfers, because versions mean something else from now on."""
+        self.kept.clear()
+        self.by_identity.clear()
+        self.kept_bytes = 0
--- a/src/sassafraswharf/fleet/sync.py
+++ b/src/sassafraswharf/fleet/sync.py
@@ -10,6 +10,8 @@
 import msgspec
 
 from sassafraswharf.fleet.fleet_state import VersionedFleet
+from sassafraswharf.fleet.transfer import Cursor
+from sassafraswharf.fleet.transfer import TransferPart
 from sassafraswharf.fleet.values import Instance
 from sassafraswharf.routing.plan_document import PlanChange
 
@@ -86,7 +88,8 @@
     ``boot`` identifies the process. ``ended`` are lives of the upstream that the
     router has seen end. ``hold_s`` is how long the leader may wait for news
     before it answers. ``suspects_checksum`` tells the suspects that the router
-    knows.
+    knows. The cursors say how far the router is with changes that take several
+    answers; without ``takes_plan`` none of the configuration is sent.
     """
 
     host: str
@@ -102,6 +105,9 @@
     crashes: tuple[CrashReport, ...] = ()
     harmless: tuple[bytes, ...] = ()
     suspects_checksum: int = 0
+    plan_cursor: Cursor | None = None
+    fleet_cursor: Cursor | None = None
+    takes_plan: bool = True
 
 
 class SyncReply(NamedTuple):
@@ -109,16 +115,20 @@
 
     ``lease_s`` counts from the moment at which the request was sent; 0 means
     that there is no lease, because the sender is not the leader. ``suspects`` is
-    ``None`` if the router knows them.
+    ``None`` if the router knows them. ``plan`` and ``fleet`` are parts of the
+    changes that the router lacks, ``None`` if it lacks none. Their size is bounded,
+    so that an answer arrives in time and renews the lease however much has changed.
     """
 
     leader: str
     controls: tuple[str, ...]
     lease_s: float
-    plan: tuple[PlanChange, ...] = ()
-    fleet: tuple[VersionedFleet, ...] = ()
+    plan: TransferPart | None = None
+    fleet: TransferPart | None = None
     suspects: tuple[Suspect, ...] | None = None
 
 
 REQUEST_DECODER = msgspec.msgpack.Decoder(SyncRequest)
 REPLY_DECODER = msgspec.msgpack.Decoder(SyncReply)
+PLAN_DECODER = msgspec.msgpack.Decoder(tuple[PlanChange, ...])
+FLEET_DECODER = msgspec.msgpack.Decoder(tuple[VersionedFleet, ...])
--- a/src/sassafraswharf/gateway/control_link.py
+++ b/src/sassafraswharf/gateway/control_link.py
@@ -7,12 +7,17 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 from typing import Final
+from typing import TypeVar
 
 import msgspec
 
 from aiohttp import ClientPayloadError
+from result import Err
 
 from sassafraswharf.exceptions import ExchangeError
+from sassafraswharf.fleet.part_receiver import PartReceiver
+from sassafraswharf.fleet.sync import FLEET_DECODER
+from sassafraswharf.fleet.sync import PLAN_DECODER
 from sassafraswharf.fleet.sync import REPLY_DECODER
 from sassafraswharf.fleet.sync import SyncReply
 from sassafraswharf.gateway.http_connection import HttpConnection
@@ -26,10 +31,13 @@
     from sassafraswharf.clock import Clock
     from sassafraswharf.fleet.sync import Suspect
     from sassafraswharf.fleet.sync import SyncRequest
+    from sassafraswharf.fleet.transfer import TransferPart
     from sassafraswharf.gateway.fleet_view import FleetView
     from sassafraswharf.observability.decision_log import DecisionLog
 
 
+Changes = TypeVar("Changes")
+
 HOLD_S: Final = 0.3
 ANSWER_TIMEOUT_S: Final = 0.8
 CONNECT_TIMEOUT_S: Final = 0.4
@@ -60,6 +68,7 @@
 
     The leader holds each report back until there is news or ``HOLD_S`` has
     passed, so changes arrive at once and little is sent while nothing happens.
+    Long changes come in parts, each with an answer that renews the lease.
     What can't wait is reported over a second connection. Any control host tells
     who leads; without an answer the next one is asked.
     """
@@ -93,6 +102,8 @@
         self.tasks: list[asyncio.Task[None]] = []
         self.connected = False
         self.has_table = False
+        self.plan_receiver = PartReceiver()
+        self.fleet_receiver = PartReceiver()
         self.outcomes: Counter[str] = Counter()
         self.received_bytes = 0
 
@@ -125,7 +136,7 @@
             connection, answered = await self.exchange(connection, HOLD_S)
             if not answered:
                 await asyncio.sleep(RETRY_PAUSE_S)
-            elif self.clock.now() - began < MIN_PERIOD_S:
+            elif not self.lacks_parts and self.clock.now() - began < MIN_PERIOD_S:
                 await asyncio.sleep(MIN_PERIOD_S)
 
     async def report_urgently(self) -> None:
@@ -202,8 +213,7 @@
         if not self.connected:
             self.connected = True
             self.log.record("control_found", leader=address)
-        self.view.take_plan(reply.plan)
-        self.view.take_fleet(reply.fleet)
+        self.take_changes(reply)
         if reply.suspects is not None:
             self.take_suspects(reply.suspects)
         self.has_table = True
@@ -211,6 +221,39 @@
         self.lease_until = max(self.lease_until, sent_at + reply.lease_s)
         return True
 
+    def take_changes(self, reply: SyncReply) -> None:
+        """Add the parts of changes, and apply what is whole."""
+        plan = self.join(self.plan_receiver, reply.plan, PLAN_DECODER)
+        self.view.take_plan(plan or ())
+        fleet = self.join(self.fleet_receiver, reply.fleet, FLEET_DECODER)
+        self.view.take_fleet(fleet or ())
+
+    def join(
+        self,
+        receiver: PartReceiver,
+        part: TransferPart | None,
+        decoder: msgspec.msgpack.Decoder[Changes],
+    ) -> Changes | None:
+        """Return the changes when their last part has come."""
+        if part is None:
+            return None
+        taken = receiver.take(part)
+        if isinstance(taken, Err):
+            self.log.record("transfer_dropped", why=taken.err_value)
+            return None
+        if taken.ok_value is None:
+            return None
+        try:
+            return decoder.decode(taken.ok_value)
+        except msgspec.DecodeError as error:
+            self.log.record("transfer_dropped", why=str(error))
+            return None
+
+    @property
+    def lacks_parts(self) -> bool:
+        """Return whether a transfer is under way."""
+        return bool(self.plan_receiver.received or self.fleet_receiver.received)
+
     def follow(self, leader: str, asked: str) -> None:
         """Ask the named leader next, or another control host without one."""
         self.leader = leader if leader and leader != asked else self.next_after(asked)
--- a/src/sassafraswharf/gateway/router_node.py
+++ b/src/sassafraswharf/gateway/router_node.py
@@ -357,6 +357,10 @@
             tuple(local.ended) if local else (),
             *self.crashes.report(self.clock.now()),
             self.crashes.checksum,
+            self.link.plan_receiver.cursor,
+            self.link.fleet_receiver.cursor,
+            # An urgent report would fetch the same part as the steady one.
+            takes_plan=hold_s > 0,
         )
 
     def report_upstream(self, local: LocalUpstream) -> UpstreamReport | None:
--- a/tests/gateway/test_narrow_link.py
+++ b/tests/gateway/test_narrow_link.py
@@ -197,10 +197,20 @@
 
     def report(hold_s: float, sequence: int) -> SyncRequest:
         return SyncRequest(
-            "h", "ip", "a", 1, sequence, view.plan.version, view.fleet.version, hold_s
+            "h",
+            "ip",
+            "a",
+            1,
+            sequence,
+            view.plan.version,
+            view.fleet.version,
+            hold_s,
+            plan_cursor=link.plan_receiver.cursor,
+            fleet_cursor=link.fleet_receiver.cursor,
         )
 
-    return ControlLink((NARROW,), PORT, view, clock, log, report, lambda _: None)
+    link = ControlLink((NARROW,), PORT, view, clock, log, report, lambda _: None)
+    return link
 
 
 async def wait_for_version(router: ControlLink, version: int) -> None:
