Refuse for good only what a confirmed configuration does not allow

Callers saw a 404, 400 or 413 for requests that the configuration in force allows, from routers that had an older one, or had been cut off from the leader. Callers don't repeat a request after these.

Cause: a refusal for good was decided by whatever version the router had, of unknown age. Class: a definite negative answer from knowledge that may be outdated.

Change: an answer of the leader names the newest version. A router whose configuration was confirmed as the newest within the last 1.5 s refuses for good; any other answers 503 with Retry-After, as one without any configuration did already. The age counts from the sending of the report. A refusal for good can then miss only changes of the last 1.5 s, less than the 2 s in which a change comes into force. Known routes are served as before, whatever the age: a service shouldn't stop since the leader is away.

--- a/src/sassafraswharf/fleet/control_node.py
+++ b/src/sassafraswharf/fleet/control_node.py
@@ -347,6 +347,7 @@
             self.plan_part(report) if leads else None,
             self.fleet_part(report) if leads else None,
             self.coordinator.suspects_for(report, self.clock.now()) if leads else None,
+            state.plan.version,
         )
 
     def plan_part(self, report: SyncRequest) -> TransferPart | None:
--- a/src/sassafraswharf/gateway/control_link.py
+++ b/src/sassafraswharf/gateway/control_link.py
@@ -213,7 +213,7 @@
         if not self.connected:
             self.connected = True
             self.log.record("control_found", leader=address)
-        self.take_changes(reply)
+        self.take_changes(reply, sent_at)
         if reply.suspects is not None:
             self.take_suspects(reply.suspects)
         self.has_table = True
@@ -221,12 +221,13 @@
         self.lease_until = max(self.lease_until, sent_at + reply.lease_s)
         return True
 
-    def take_changes(self, reply: SyncReply) -> None:
+    def take_changes(self, reply: SyncReply, sent_at: float) -> None:
         """Add the parts of changes, and apply what is whole."""
         plan = self.join(self.plan_receiver, reply.plan, PLAN_DECODER)
         self.view.take_plan(plan or ())
         fleet = self.join(self.fleet_receiver, reply.fleet, FLEET_DECODER)
         self.view.take_fleet(fleet or ())
+        self.view.confirm_plan(reply.plan_version, sent_at)
 
     def join(
         self,
--- a/src/sassafraswharf/gateway/fleet_view.py
+++ b/src/sassafraswharf/gateway/fleet_view.py
@@ -5,6 +5,7 @@
 import time
 
 from typing import TYPE_CHECKING
+from typing import Final
 
 from result import Ok
 
@@ -23,6 +24,11 @@
     from sassafraswharf.routing.plan_document import PlanReader
 
 
+PLAN_CONFIRMED_S: Final = 1.5
+"""A configuration is in force everywhere 2 s after its acceptance. A router that has
+heard of none for less than that has the one in force."""
+
+
 class FleetView:
     """Follows the versions of the control group and never goes back."""
 
@@ -34,6 +40,16 @@
         self.routes: RouteTable | None = None
         self.fleet = FleetTable()
         self.changed = ChangeSignal()
+        self.plan_confirmed_at = float("-inf")
+
+    def confirm_plan(self, newest: int, asked_at: float) -> None:
+        """Take the leader's word on the newest version, as of ``asked_at`` or later."""
+        if self.plan.version >= newest:
+            self.plan_confirmed_at = max(self.plan_confirmed_at, asked_at)
+
+    def is_plan_confirmed(self, now: float) -> bool:
+        """Return whether the configuration was the newest a moment ago."""
+        return now - self.plan_confirmed_at <= PLAN_CONFIRMED_S
 
     def take_plan(self, changes: Iterable[PlanChange]) -> None:
         """Apply changes of the configuration in order."""
--- a/src/sassafraswharf/gateway/ingress.py
+++ b/src/sassafraswharf/gateway/ingress.py
@@ -112,7 +112,7 @@
         """Answer one request of a caller."""
         now = self.clock.now()
         request_id = request.headers.get(self.names.request_id, "")
-        target = self.reader.find_target(request)
+        target = self.reader.find_target(request, now)
         if isinstance(target, Rejection):
             return self.turn_away(request, request_id, target, "-")
         work = await self.reader.read_work(request, request_id, target, now)
--- a/src/sassafraswharf/gateway/request_reader.py
+++ b/src/sassafraswharf/gateway/request_reader.py
@@ -54,7 +54,7 @@
             name.lower() for name in (names.deadline_ms, names.instance, names.origin)
         )
 
-    def find_target(self, request: web.BaseRequest) -> Target | Rejection:
+    def find_target(self, request: web.BaseRequest, now: float) -> Target | Rejection:
         """Return the route and service of a request, or why there is none."""
         table = self.view.routes
         if table is None:
@@ -66,7 +66,7 @@
         route = table.find(host, path)
         if route is None:
             message = f"no route for {host} in version {table.version}"
-            return Rejection(ResultCode.UNKNOWN_SERVICE, message, True)
+            return self.denial(ResultCode.UNKNOWN_SERVICE, message, now)
         return Target(route, self.split.choose(route))
 
     async def read_work(
@@ -77,8 +77,8 @@
         limit = self.view.plan.plan.limits.max_body_bytes
         if (request.content_length or 0) > limit:
             message = f"the body exceeds {limit} bytes"
-            return Rejection(ResultCode.BODY_TOO_LARGE, message, True)
-        key = self.key_of(request, target.service)
+            return self.denial(ResultCode.BODY_TOO_LARGE, message, now)
+        key = self.key_of(request, target.service, now)
         if isinstance(key, Rejection):
             return key
         body, rest = await read_body(request.content)
@@ -100,7 +100,26 @@
             self.terms_of(request, route, now),
         )
 
-    def key_of(self, request: web.BaseRequest, service: str) -> int | Rejection | None:
+    def denial(self, code: ResultCode, message: str, now: float) -> Rejection:
+        """Return the refusal of what the configuration doesn't allow.
+
+        Callers don't send such a request again, so it takes a configuration that
+        was the newest a moment ago. A router that was cut off or is catching up
+        can't know whether a newer one allows the request, and says so.
+        """
+        if self.view.is_plan_confirmed(now):
+            return Rejection(code, message, True)
+        return Rejection(
+            ResultCode.CONFIGURATION_UNAVAILABLE,
+            f"{message}, which may be outdated",
+            True,
+            False,
+            NO_CONFIGURATION_RETRY_S,
+        )
+
+    def key_of(
+        self, request: web.BaseRequest, service: str, now: float
+    ) -> int | Rejection | None:
         """Return the key of a request to a service that is divided by key."""
         routes = self.view.routes
         declared = routes.services.get(service) if routes else None
@@ -108,7 +127,7 @@
             return None
         text = request.headers.get(self.names.key, "")
         if not text.isdecimal():
-            return Rejection(ResultCode.KEY_MISSING, "the key is missing", True)
+            return self.denial(ResultCode.KEY_MISSING, "the key is missing", now)
         return int(text)
 
     def terms_of(self, request: web.BaseRequest, route: Route, now: float) -> Terms:
