Tell transfers of the same bytes apart by the version of the receiver

Fault: routers with different versions that lack the same bytes get the first part of the transfer again and again and never end it. They ask without a pause meanwhile.

The cursor of a router with another version then matched no transfer; begin returned the kept one, from offset 0, which the receiver ignores.

Evidence: found by reading; tests/fleet/test_shared_transfers.py, three cases, fails before (one of two and one of four receivers end after 8 parts of at most 4 each) and passes after.

--- a/src/sassafraswharf/fleet/part_sender.py
+++ b/src/sassafraswharf/fleet/part_sender.py
@@ -43,21 +43,22 @@
     So a receiver makes progress with each message that arrives, however long the
     whole is. Transfers are compressed once for all receivers with the same version
     and kept up to ``MAX_KEPT_BYTES``; one that is no longer kept, or that another
-    sender began, is begun anew.
+    sender began, is begun anew. Receivers with other versions can lack the same
+    bytes, the whole state, so a digest alone doesn't tell their transfers apart.
     """
 
     def __init__(self, changes_since: Callable[[int], bytes]) -> None:
         """Send what ``changes_since`` returns for the version of a receiver."""
         self.changes_since = changes_since
         self.kept: OrderedDict[tuple[int, int], Transfer] = OrderedDict()
-        self.by_identity: dict[int, Transfer] = {}
+        self.by_cursor: dict[tuple[int, int], Transfer] = {}
         self.kept_bytes = 0
 
     def part_for(self, base: int, target: int, cursor: Cursor | None) -> TransferPart:
         """Return the next part on the way from version ``base`` to ``target``."""
-        transfer = self.by_identity.get(cursor.identity) if cursor else None
+        transfer = self.by_cursor.get((base, cursor.identity)) if cursor else None
         offset = cursor.received if cursor else 0
-        if transfer is None or transfer.base != base or offset > len(transfer.content):
+        if transfer is None or offset > len(transfer.content):
             transfer = self.begin(base, target)
             offset = 0
         data = transfer.content[offset : offset + PART_BYTES]
@@ -73,7 +74,7 @@
         content = zlib.compress(self.changes_since(base), FAST_COMPRESSION)
         identity = xxhash.xxh3_64_intdigest(content)
         transfer = Transfer(base, target, identity, content)
-        self.kept[place] = self.by_identity[identity] = transfer
+        self.kept[place] = self.by_cursor[base, identity] = transfer
         self.kept_bytes += len(content)
         self.forget_oldest()
         return transfer
@@ -85,11 +86,12 @@
         ):
             _, oldest = self.kept.popitem(last=False)
             self.kept_bytes -= len(oldest.content)
-            if self.by_identity.get(oldest.identity) is oldest:
-                del self.by_identity[oldest.identity]
+            place = (oldest.base, oldest.identity)
+            if self.by_cursor.get(place) is oldest:
+                del self.by_cursor[place]
 
     def clear(self) -> None:
         """Forget all transfers, because versions mean something else from now on."""
         self.kept.clear()
-        self.by_identity.clear()
+        self.by_cursor.clear()
         self.kept_bytes = 0
--- /dev/null
+++ b/tests/fleet/test_shared_transfers.py
@@ -0,0 +1,44 @@
+"""Transfers of several receivers at one sender."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from sassafraswharf.fleet.part_receiver import PartReceiver
+from sassafraswharf.fleet.part_sender import PartSender
+from sassafraswharf.fleet.transfer import PART_BYTES
+
+
+WHOLE = random.Random(1).randbytes(PART_BYTES * 3)
+MOST_PARTS = 8
+
+
+@pytest.mark.parametrize(
+    "bases",
+    [
+        pytest.param((0, 3), id="a restarted router and one that lags"),
+        pytest.param((3, 0), id="the other order"),
+        pytest.param((0, 1, 2, 3), id="four versions"),
+    ],
+)
+def test_receivers_with_other_versions_get_the_same_whole_to_its_end(
+    bases: tuple[int, ...],
+) -> None:
+    """Guards against receivers that get the first part again and again.
+
+    A leader that has no history sends the whole state to receivers of any version,
+    so that their transfers have the same digest.
+    """
+    sender = PartSender(lambda _: WHOLE)
+    receivers = {base: PartReceiver() for base in bases}
+    done = set()
+    for _ in range(MOST_PARTS):
+        for base, receiver in receivers.items():
+            if base in done:
+                continue
+            part = sender.part_for(base, 9, receiver.cursor)
+            if receiver.take(part).unwrap() is not None:
+                done.add(base)
+    assert done == set(bases)
--- a/tests/fleet/test_transfer.py
+++ b/tests/fleet/test_transfer.py
@@ -102,7 +102,7 @@
     for base in range(20):
         sender.part_for(base, 30, None)
     assert sender.kept_bytes <= 10_000
-    assert len(sender.by_identity) == len(sender.kept)
+    assert len(sender.by_cursor) == len(sender.kept)
 
 
 def test_many_changes_of_the_fleet_are_sent_as_the_table() -> None:
