Keep transfers that receivers still use

Fault: a receiver behind a slow link begins a long transfer anew while versions come often.

Cause: kept transfers are dropped in the order in which they began or were begun again by another receiver; taking a further part didn't count. 128 newer ones, a few for each version, push out one that is under way.

--- a/src/sassafraswharf/fleet/part_sender.py
+++ b/src/sassafraswharf/fleet/part_sender.py
@@ -61,6 +61,9 @@
         if transfer is None or offset > len(transfer.content):
             transfer = self.begin(base, target)
             offset = 0
+        else:
+            # One in use outlives the many short ones that new versions begin.
+            self.kept.move_to_end((transfer.base, transfer.target))
         data = transfer.content[offset : offset + PART_BYTES]
         return TransferPart(transfer.identity, len(transfer.content), offset, data)
 
--- a/tests/fleet/test_shared_transfers.py
+++ b/tests/fleet/test_shared_transfers.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from sassafraswharf.fleet import part_sender
 from sassafraswharf.fleet.part_receiver import PartReceiver
 from sassafraswharf.fleet.part_sender import PartSender
 from sassafraswharf.fleet.transfer import PART_BYTES
@@ -42,3 +43,22 @@
             if receiver.take(part).unwrap() is not None:
                 done.add(base)
     assert done == set(bases)
+
+
+def test_a_transfer_in_use_is_kept(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a slow receiver that starts anew while versions come often."""
+    monkeypatch.setattr(part_sender, "MAX_KEPT", 4)
+    newest = 2
+    sender = PartSender(
+        lambda base: random.Random(base * 1_000 + newest).randbytes(PART_BYTES * 3)
+    )
+    receiver = PartReceiver()
+    for _ in range(MOST_PARTS):
+        part = sender.part_for(1, newest, receiver.cursor)
+        if receiver.take(part).unwrap() is not None:
+            break
+        newest += 1
+        for base in range(10, 12):
+            sender.part_for(base, newest, None)
+    else:
+        pytest.fail("the transfer never ended")
