Ask for shorter parts where they do not arrive in time

A part of the configuration and one of the fleet are 49 KB, for which 0.8 s need 0.5 Mbit/s; 1,600 routers that are sent 24 KB each over the leader's 170 Mbit/s have 0.1 Mbit/s each.

Cause: the bound of a part is fixed, and a part that is cut off is sent again at the same size.

Change: a router halves the parts that it asks for, down to 1,536 bytes, when an answer is cut off in its body, and doubles them after a fast answer.

--- a/src/sassafraswharf/fleet/control_node.py
+++ b/src/sassafraswharf/fleet/control_node.py
@@ -356,7 +356,7 @@
         if not report.takes_plan or report.plan_version >= newest:
             return None
         return self.plan_sender.part_for(
-            report.plan_version, newest, report.plan_cursor
+            report.plan_version, newest, report.plan_cursor, report.part_bytes
         )
 
     def fleet_part(self, report: SyncRequest) -> TransferPart | None:
@@ -365,7 +365,7 @@
         if report.fleet_version >= newest:
             return None
         return self.fleet_sender.part_for(
-            report.fleet_version, newest, report.fleet_cursor
+            report.fleet_version, newest, report.fleet_cursor, report.part_bytes
         )
 
     async def plan_fleet(self) -> None:
--- a/src/sassafraswharf/fleet/part_sender.py
+++ b/src/sassafraswharf/fleet/part_sender.py
@@ -11,6 +11,7 @@
 
 import xxhash
 
+from sassafraswharf.fleet.transfer import MIN_PART_BYTES
 from sassafraswharf.fleet.transfer import PART_BYTES
 from sassafraswharf.fleet.transfer import TransferPart
 
@@ -54,8 +55,13 @@
         self.by_cursor: dict[tuple[int, int], Transfer] = {}
         self.kept_bytes = 0
 
-    def part_for(self, base: int, target: int, cursor: Cursor | None) -> TransferPart:
-        """Return the next part on the way from version ``base`` to ``target``."""
+    def part_for(
+        self, base: int, target: int, cursor: Cursor | None, limit: int = PART_BYTES
+    ) -> TransferPart:
+        """Return the next part on the way from version ``base`` to ``target``.
+
+        It has at most ``limit`` bytes, within the bounds for all receivers.
+        """
         transfer = self.by_cursor.get((base, cursor.identity)) if cursor else None
         offset = cursor.received if cursor else 0
         if transfer is None or offset > len(transfer.content):
@@ -64,7 +70,8 @@
         else:
             # One in use outlives the many short ones that new versions begin.
             self.kept.move_to_end((transfer.base, transfer.target))
-        data = transfer.content[offset : offset + PART_BYTES]
+        size = min(max(limit, MIN_PART_BYTES), PART_BYTES)
+        data = transfer.content[offset : offset + size]
         return TransferPart(transfer.identity, len(transfer.content), offset, data)
 
     def begin(self, base: int, target: int) -> Transfer:
--- a/src/sassafraswharf/fleet/sync.py
+++ b/src/sassafraswharf/fleet/sync.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from sassafraswharf.fleet.fleet_state import VersionedFleet
+from sassafraswharf.fleet.transfer import PART_BYTES
 from sassafraswharf.fleet.transfer import Cursor
 from sassafraswharf.fleet.transfer import TransferPart
 from sassafraswharf.fleet.values import Instance
@@ -90,6 +91,7 @@
     before it answers. ``suspects_checksum`` tells the suspects that the router
     knows. The cursors say how far the router is with changes that take several
     answers; without ``takes_plan`` none of the configuration is sent.
+    A part has at most ``part_bytes``.
     """
 
     host: str
@@ -108,6 +110,7 @@
     plan_cursor: Cursor | None = None
     fleet_cursor: Cursor | None = None
     takes_plan: bool = True
+    part_bytes: int = PART_BYTES
 
 
 class SyncReply(NamedTuple):
--- a/src/sassafraswharf/gateway/control_link.py
+++ b/src/sassafraswharf/gateway/control_link.py
@@ -20,6 +20,8 @@
 from sassafraswharf.fleet.sync import PLAN_DECODER
 from sassafraswharf.fleet.sync import REPLY_DECODER
 from sassafraswharf.fleet.sync import SyncReply
+from sassafraswharf.fleet.transfer import MIN_PART_BYTES
+from sassafraswharf.fleet.transfer import PART_BYTES
 from sassafraswharf.gateway.http_connection import HttpConnection
 
 
@@ -42,6 +44,8 @@
 ANSWER_TIMEOUT_S: Final = 0.8
 CONNECT_TIMEOUT_S: Final = 0.4
 RETRY_PAUSE_S: Final = 0.08
+FAST_ANSWER_S: Final = ANSWER_TIMEOUT_S / 4
+"""After an answer with parts in less than this, parts twice as long arrive in time."""
 STATUS_OK: Final = 200
 MIN_PERIOD_S: Final = 0.05
 
@@ -106,6 +110,7 @@
         self.fleet_receiver = PartReceiver()
         self.outcomes: Counter[str] = Counter()
         self.received_bytes = 0
+        self.part_bytes = PART_BYTES
 
     def start(self) -> None:
         """Start to report."""
@@ -177,11 +182,17 @@
         else:
             self.outcomes["answered"] += 1
             self.received_bytes += cost.received_bytes
+            self.lengthen_parts(reply, self.clock.now() - sent_at)
             return connection, self.take(address, reply, sent_at)
         if connection is not None:
             connection.abort()
         return None, False
 
+    def lengthen_parts(self, reply: SyncReply, took_s: float) -> None:
+        """Ask for longer parts when they arrive fast."""
+        if took_s < FAST_ANSWER_S and (reply.plan or reply.fleet):
+            self.part_bytes = min(self.part_bytes * 2, PART_BYTES)
+
     async def ask(
         self, connection: HttpConnection, hold_s: float, cost: ReportCost
     ) -> SyncReply:
@@ -274,6 +285,9 @@
         """
         why = str(error) or type(error).__name__
         self.outcomes[cost.phase] += 1
+        if cost.phase == "body":
+            # Shorter answers renew the lease where the link is too slow for these.
+            self.part_bytes = max(self.part_bytes // 2, MIN_PART_BYTES)
         self.received_bytes += cost.received_bytes
         self.log.record(
             "report_failed",
--- a/src/sassafraswharf/gateway/router_node.py
+++ b/src/sassafraswharf/gateway/router_node.py
@@ -361,6 +361,7 @@
             self.link.fleet_receiver.cursor,
             # An urgent report would fetch the same part as the steady one.
             takes_plan=hold_s > 0,
+            part_bytes=self.link.part_bytes,
         )
 
     def report_upstream(self, local: LocalUpstream) -> UpstreamReport | None:
--- a/tests/gateway/test_narrow_link.py
+++ b/tests/gateway/test_narrow_link.py
@@ -207,6 +207,7 @@
             hold_s,
             plan_cursor=link.plan_receiver.cursor,
             fleet_cursor=link.fleet_receiver.cursor,
+            part_bytes=link.part_bytes,
         )
 
     link = ControlLink((NARROW,), PORT, view, clock, log, report, lambda _: None)
