Bound what the leader sends to all routers at the same time

Fault: found by the review, by arithmetic: parts of 24 KB for 2,400 routers take 2.8 s on a link of 170 Mbit/s, but each is given up after 1.1 s, and all are sent again. The heartbeats of the control group share the link.

Change: the leader has at most 2 MB of parts under way, 0.1 s of that link. A router that gets no part gets its lease and asks again 50 ms later. A part counts until its router reports again or must have given up.

No run with 2,400 processes was made. At 61 routers (1.5 MB) the budget doesn't bind.

--- a/src/sassafraswharf/fleet/control_node.py
+++ b/src/sassafraswharf/fleet/control_node.py
@@ -19,24 +19,22 @@
 
 from sassafraswharf.codes import ResultCode
 from sassafraswharf.consensus.core import MembershipPolicy
-from sassafraswharf.consensus.files import replace_file
 from sassafraswharf.consensus.group_task import GroupTask
 from sassafraswharf.consensus.messages import decode_message
 from sassafraswharf.consensus.messages import encode_message
 from sassafraswharf.consensus.timing import ReplicaTiming
 from sassafraswharf.consensus.voters import host_name
-from sassafraswharf.exceptions import StorageError
-from sassafraswharf.failure import Failure
 from sassafraswharf.fleet.coordinator import Coordinator
 from sassafraswharf.fleet.coordinator import LeaseTiming
+from sassafraswharf.fleet.first_start import remember_first_start
 from sassafraswharf.fleet.fleet_state import FleetState
 from sassafraswharf.fleet.fleet_state import PlanCommand
 from sassafraswharf.fleet.fleet_state import decode_plan_reply
 from sassafraswharf.fleet.fleet_state import encode_fleet_change
 from sassafraswharf.fleet.fleet_state import encode_plan_command
-from sassafraswharf.fleet.part_sender import PartSender
 from sassafraswharf.fleet.read_api import PREFIX
 from sassafraswharf.fleet.read_api import ReadApi
+from sassafraswharf.fleet.state_feed import StateFeed
 from sassafraswharf.fleet.sync import REQUEST_DECODER
 from sassafraswharf.fleet.sync import SyncReply
 from sassafraswharf.fleet.sync import SyncRequest
@@ -55,7 +53,7 @@
 if TYPE_CHECKING:
     from sassafraswharf.clock import Clock
     from sassafraswharf.consensus.messages import ConsensusMessage
-    from sassafraswharf.fleet.transfer import TransferPart
+    from sassafraswharf.failure import Failure
     from sassafraswharf.observability.decision_log import DecisionLog
     from sassafraswharf.routing.plan_document import PlanChange
     from sassafraswharf.routing.plan_document import PlanDocument
@@ -68,12 +66,10 @@
 GROUP_TIMING: Final = ReplicaTiming(
     heartbeat_s=0.15, election_min_s=0.6, election_max_s=1.0
 )
-FIRST_START_MARKER: Final = "first-start"
 PROPOSAL_TIMEOUT_S: Final = 3.0
 PLANNING_S: Final = 0.1
 LONG_REPLY_BYTES: Final = 2 * PART_BYTES
 """Answers to routers above this size are logged."""
-LAG_PERIOD_S: Final = 1.0
 PEER_SILENT_S: Final = 1.2
 """A connection between control hosts without messages for this long is replaced,
 since it may have gone silent for good."""
@@ -128,9 +124,7 @@
         self.news = ChangeSignal()
         self.due = asyncio.Event()
         self.heard_at: dict[str, float] = {}
-        self.lag_noted_at = 0.0
-        self.plan_sender = PartSender(self.state.encoded_plan_since)
-        self.fleet_sender = PartSender(self.state.encoded_fleet_since)
+        self.feed = StateFeed(self.state, log)
         self.dialled_at: dict[str, float] = {}
         self.mailbox = Mailbox(
             f"{node.address}:{node.first_peer_port + 1}",
@@ -240,8 +234,7 @@
         """Start or stop to coordinate the fleet."""
         self.log.record("leadership", leads=is_leader, term=term)
         self.coordinator.start_term(self.clock.now())
-        self.plan_sender.clear()
-        self.fleet_sender.clear()
+        self.feed.clear()
         self.news.notify()
         self.due.set()
 
@@ -330,6 +323,7 @@
             return SyncReply(self.leader_address, self.control_addresses, 0.0)
         arrived_at = self.clock.now()
         self.coordinator.on_sync(report, arrived_at)
+        self.feed.on_report(report)
         self.due.set()
         state = self.state
         while (
@@ -339,35 +333,19 @@
             left_s = report.hold_s - (self.clock.now() - arrived_at)
             if left_s <= 0 or not await self.news.wait(left_s):
                 break
-        leads = self.group.is_current_leader()
+        if not self.group.is_current_leader():
+            return SyncReply(self.leader_address, self.control_addresses, 0.0)
+        now = self.clock.now()
         return SyncReply(
             self.leader_address,
             self.control_addresses,
-            self.coordinator.timing.lease_s if leads else 0.0,
-            self.plan_part(report) if leads else None,
-            self.fleet_part(report) if leads else None,
-            self.coordinator.suspects_for(report, self.clock.now()) if leads else None,
+            self.coordinator.timing.lease_s,
+            self.feed.plan_part(report, now),
+            self.feed.fleet_part(report, now),
+            self.coordinator.suspects_for(report, now),
             state.plan.version,
         )
 
-    def plan_part(self, report: SyncRequest) -> TransferPart | None:
-        """Return what a router needs next of the configuration."""
-        newest = self.state.plan.version
-        if not report.takes_plan or report.plan_version >= newest:
-            return None
-        return self.plan_sender.part_for(
-            report.plan_version, newest, report.plan_cursor, report.part_bytes
-        )
-
-    def fleet_part(self, report: SyncRequest) -> TransferPart | None:
-        """Return what a router needs next of the fleet."""
-        newest = self.state.fleet.version
-        if report.fleet_version >= newest:
-            return None
-        return self.fleet_sender.part_for(
-            report.fleet_version, newest, report.fleet_cursor, report.part_bytes
-        )
-
     async def plan_fleet(self) -> None:
         """Commit the coordinator's changes one after the other while leading."""
         while True:
@@ -379,31 +357,10 @@
                 pass
             self.due.clear()
             if self.group.is_current_leader():
-                self.note_lag()
+                now = self.clock.now()
+                self.feed.note_lag(self.coordinator.live_sessions(now), now)
                 await self.commit_next_change()
 
-    def note_lag(self) -> None:
-        """Log the routers that follow an older configuration for long."""
-        now = self.clock.now()
-        if now - self.lag_noted_at < LAG_PERIOD_S:
-            return
-        self.lag_noted_at = now
-        newest = self.state.plan.version
-        sessions = self.coordinator.live_sessions(now)
-        behind = [one for one in sessions if one.request.plan_version < newest]
-        if not behind:
-            return
-        oldest = min(behind, key=lambda one: one.request.plan_version)
-        self.log.record(
-            "routers_behind",
-            routers=len(behind),
-            of=len(sessions),
-            version=newest,
-            oldest=oldest.request.plan_version,
-            oldest_host=oldest.request.host,
-            oldest_heard_s=round(now - oldest.heard_at, 2),
-        )
-
     async def commit_next_change(self) -> None:
         """Commit one change of the fleet, if there is one."""
         keyed = [
@@ -436,23 +393,3 @@
         )
         self.news.notify()
         self.due.set()
-
-
-def remember_first_start(folder: Path, first_start: bool) -> bool:
-    """Return whether this data folder was there at the first start of the fleet.
-
-    A process that is restarted before the group was founded is no longer told
-    that this is the first start, but its folder still says so. A folder that was
-    lost since then doesn't.
-
-    Raises ``StorageError`` when the folder can't be written.
-    """
-    marker = folder / FIRST_START_MARKER
-    try:
-        if first_start and not marker.exists():
-            folder.mkdir(parents=True, exist_ok=True)
-            replace_file(marker, b"")
-        return marker.exists()
-    except OSError as error:
-        failure = Failure(ResultCode.STORAGE_FAILED, f"{folder}: {error}")
-        raise StorageError(failure) from error
--- /dev/null
+++ b/src/sassafraswharf/fleet/first_start.py
@@ -0,0 +1,38 @@
+"""Whether a control host was there when the fleet was founded."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Final
+
+from sassafraswharf.codes import ResultCode
+from sassafraswharf.consensus.files import replace_file
+from sassafraswharf.exceptions import StorageError
+from sassafraswharf.failure import Failure
+
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+
+FIRST_START_MARKER: Final = "first-start"
+
+
+def remember_first_start(folder: Path, first_start: bool) -> bool:
+    """Return whether this data folder was there at the first start of the fleet.
+
+    A process that is restarted before the group was founded is no longer told
+    that this is the first start, but its folder still says so. A folder that was
+    lost since then doesn't.
+
+    Raises ``StorageError`` when the folder can't be written.
+    """
+    marker = folder / FIRST_START_MARKER
+    try:
+        if first_start and not marker.exists():
+            folder.mkdir(parents=True, exist_ok=True)
+            replace_file(marker, b"")
+        return marker.exists()
+    except OSError as error:
+        failure = Failure(ResultCode.STORAGE_FAILED, f"{folder}: {error}")
+        raise StorageError(failure) from error
--- /dev/null
+++ b/src/sassafraswharf/fleet/state_feed.py
@@ -0,0 +1,100 @@
+"""What the leader sends to routers of the replicated state."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Final
+
+from sassafraswharf.fleet.part_budget import PartBudget
+from sassafraswharf.fleet.part_sender import PartSender
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sassafraswharf.fleet.coordinator import Session
+    from sassafraswharf.fleet.fleet_state import FleetState
+    from sassafraswharf.fleet.sync import SyncRequest
+    from sassafraswharf.fleet.transfer import TransferPart
+    from sassafraswharf.observability.decision_log import DecisionLog
+
+
+LAG_PERIOD_S: Final = 1.0
+
+
+class StateFeed:
+    """Feeds the configuration and the fleet to routers, a part with each answer."""
+
+    def __init__(self, state: FleetState, log: DecisionLog) -> None:
+        """Feed what ``state`` has."""
+        self.state = state
+        self.log = log
+        self.plan_sender = PartSender(state.encoded_plan_since)
+        self.fleet_sender = PartSender(state.encoded_fleet_since)
+        self.budget = PartBudget()
+        self.lag_noted_at = 0.0
+
+    def clear(self) -> None:
+        """Forget the transfers of an earlier term."""
+        self.plan_sender.clear()
+        self.fleet_sender.clear()
+
+    def on_report(self, report: SyncRequest) -> None:
+        """Take a report as the arrival of the parts sent before."""
+        self.budget.on_report(report.host)
+
+    def plan_part(self, report: SyncRequest, now: float) -> TransferPart | None:
+        """Return what a router needs next of the configuration."""
+        newest = self.state.plan.version
+        if not report.takes_plan or report.plan_version >= newest:
+            return None
+        return self.within_budget(
+            report,
+            now,
+            lambda: self.plan_sender.part_for(
+                report.plan_version, newest, report.plan_cursor, report.part_bytes
+            ),
+        )
+
+    def fleet_part(self, report: SyncRequest, now: float) -> TransferPart | None:
+        """Return what a router needs next of the fleet."""
+        newest = self.state.fleet.version
+        if report.fleet_version >= newest:
+            return None
+        return self.within_budget(
+            report,
+            now,
+            lambda: self.fleet_sender.part_for(
+                report.fleet_version, newest, report.fleet_cursor, report.part_bytes
+            ),
+        )
+
+    def within_budget(
+        self, report: SyncRequest, now: float, next_part: Callable[[], TransferPart]
+    ) -> TransferPart | None:
+        """Return the next part, ``None`` if too much is under way to all routers."""
+        if not self.budget.has_room(now):
+            return None
+        part = next_part()
+        self.budget.on_sent(report.host, len(part.data), now)
+        return part
+
+    def note_lag(self, sessions: list[Session], now: float) -> None:
+        """Log how many routers follow an older configuration, once a second."""
+        if now - self.lag_noted_at < LAG_PERIOD_S:
+            return
+        self.lag_noted_at = now
+        newest = self.state.plan.version
+        behind = [one for one in sessions if one.request.plan_version < newest]
+        if not behind:
+            return
+        oldest = min(behind, key=lambda one: one.request.plan_version)
+        self.log.record(
+            "routers_behind",
+            routers=len(behind),
+            of=len(sessions),
+            version=newest,
+            oldest=oldest.request.plan_version,
+            oldest_host=oldest.request.host,
+            oldest_heard_s=round(now - oldest.heard_at, 2),
+        )
