Compress changes of the configuration in the log

What operators saw: a valid whole configuration of more than about 3,890 routes is answered with 503 for as long as they send it.

Cause: an entry of the log may have 768 KiB, so that it fits one message, and nothing bounds a configuration below the 16 MiB of a call; the refusal by size was taken for an unknown outcome.

Change: entries are compressed, which fits 12,000 routes; one that is too large all the same is refused as invalid. Logs of earlier releases are still read.

Evidence: test_a_large_whole_configuration_fits_an_entry_of_the_log failed for 12,000 routes before (1,932,120 bytes of 786,432) and passes. The call itself was not played with a configuration of that size.

--- a/src/sassafraswharf/fleet/control_node.py
+++ b/src/sassafraswharf/fleet/control_node.py
@@ -271,7 +271,9 @@
         command = encode_plan_command(PlanCommand(change, actor, time.time()))
         done = await self.group.propose(command, PROPOSAL_TIMEOUT_S)
         if isinstance(done, Err):
-            return PlanAnswer(PlanOutcome.UNKNOWN, str(done.err_value))
+            refused = done.err_value.code is ResultCode.MESSAGE_TOO_LARGE
+            outcome = PlanOutcome.INVALID if refused else PlanOutcome.UNKNOWN
+            return PlanAnswer(outcome, str(done.err_value))
         if not self.can_acknowledge():
             return PlanAnswer(PlanOutcome.UNKNOWN, "too few copies of the log")
         reply = decode_plan_reply(done.ok_value)
--- a/src/sassafraswharf/fleet/fleet_state.py
+++ b/src/sassafraswharf/fleet/fleet_state.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import zlib
+
 from collections import OrderedDict
 from collections import deque
 from enum import IntEnum
@@ -19,6 +21,7 @@
 from sassafraswharf.routing.plan_document import PlanReader
 
 
+FAST_COMPRESSION = 1
 MAX_DIGESTS = 8_192
 """Accepted changes whose resends are recognised."""
 MAX_FLEET_HISTORY = 512
@@ -31,6 +34,7 @@
 
     PLAN = 0
     FLEET = 1
+    COMPRESSED_PLAN = 2
 
 
 class PlanCommand(NamedTuple):
@@ -95,6 +99,8 @@
         """Apply a command and return its encoded reply."""
         kind = CommandKind(command[0])
         body = command[1:]
+        if kind is CommandKind.COMPRESSED_PLAN:
+            body = zlib.decompress(body)
         if kind is CommandKind.FLEET:
             change = _FLEET.decode(body)
             self.fleet.apply(index, change)
@@ -205,8 +211,13 @@
 
 
 def encode_plan_command(command: PlanCommand) -> bytes:
-    """Return the log entry of an operator's change."""
-    return bytes([CommandKind.PLAN]) + msgspec.msgpack.encode(command)
+    """Return the log entry of an operator's change.
+
+    It is compressed, since an entry has a longest size and whole configurations
+    don't.
+    """
+    packed = zlib.compress(msgspec.msgpack.encode(command), FAST_COMPRESSION)
+    return bytes([CommandKind.COMPRESSED_PLAN]) + packed
 
 
 def encode_fleet_change(change: FleetChange) -> bytes:
--- a/src/sassafraswharf/fleet/part_sender.py
+++ b/src/sassafraswharf/fleet/part_sender.py
@@ -11,6 +11,7 @@
 
 import xxhash
 
+from sassafraswharf.fleet.fleet_state import FAST_COMPRESSION
 from sassafraswharf.fleet.transfer import MIN_PART_BYTES
 from sassafraswharf.fleet.transfer import PART_BYTES
 from sassafraswharf.fleet.transfer import TransferPart
@@ -24,7 +25,6 @@
 
 MAX_KEPT_BYTES: Final = 8_388_608
 MAX_KEPT: Final = 128
-FAST_COMPRESSION: Final = 1
 
 
 class Transfer(NamedTuple):
--- a/tests/fleet/test_fleet_state.py
+++ b/tests/fleet/test_fleet_state.py
@@ -6,6 +6,8 @@
 import pytest
 
 from sassafraswharf.codes import ResultCode
+from sassafraswharf.consensus.progress import COMMAND_BYTES
+from sassafraswharf.fleet.fleet_state import CommandKind
 from sassafraswharf.fleet.fleet_state import FleetState
 from sassafraswharf.fleet.fleet_state import PlanCommand
 from sassafraswharf.fleet.fleet_state import decode_plan_reply
@@ -168,3 +170,36 @@
     assert [one.version for one in operator.state.plan_since(1)] == [4, 6]
     assert [one.version for one in operator.state.plan_since(6)] == []
     assert [one.is_whole for one in operator.state.plan_since(3)] == [True]
+
+
+@pytest.mark.parametrize(
+    "routes",
+    [
+        pytest.param(1, id="one route"),
+        pytest.param(4_000, id="4,000 routes"),
+        pytest.param(12_000, id="12,000 routes"),
+    ],
+)
+def test_a_large_whole_configuration_fits_an_entry_of_the_log(routes: int) -> None:
+    """Guards against a valid configuration that is answered with 503 for ever.
+
+    An entry of the log has a longest size, and the operator sends it again and again.
+    """
+    names = [f"r{number * 7_919:07x}" for number in range(routes)]
+    body = whole(1, 0, *(route(name, targetLatency="600ms") for name in names))
+    command = encode_plan_command(
+        PlanCommand(decode_replacement(body).unwrap(), "test", 0.0)
+    )
+    assert len(command) <= COMMAND_BYTES
+    state = FleetState(DocumentReader())
+    assert decode_plan_reply(state.apply(1, command)).code == ResultCode.OK
+    assert len(state.plan.routes) == routes
+
+
+def test_entries_of_earlier_releases_are_still_read() -> None:
+    """Guards against a log on disk that a newer release can't replay."""
+    change = decode_replacement(whole(1, 0)).unwrap()
+    command = PlanCommand(change, "test", 0.0)
+    entry = bytes([CommandKind.PLAN]) + msgspec.msgpack.encode(command)
+    state = FleetState(DocumentReader())
+    assert decode_plan_reply(state.apply(1, entry)).code == ResultCode.OK
