Bound the whole head of a request, not its line and fields

What callers saw: 400 for requests whose head is within maxHeaderBytes, where the request line is longer than 8,190 bytes, there are more than 128 fields, or the configuration allows more than 65,536 bytes.

Cause: the only limits were those of aiohttp's parser, one for the line, one for each field and one for their number. Their sum was not bounded, so they could neither be as wide as the configuration allows nor protect memory: an unfinished head of 126 fields of 65 KB was kept whole, and trailers and extensions of chunks had no end.

Evidence: raw requests to an HttpServer with maxHeaderBytes 16,384 on: lines of 9,000 and 16,000 bytes and 129 and 2,000 fields got 400 ("Got more than 8190 bytes", "Too many headers received"). 11 of the new cases of test_http_server.py and all 4 of test_caller_limits.py fail there.

Why this works: the server counts what has arrived since the last request or part of a body was recognised, and closes the connection with 431 above the limit; a whole head is measured before its handler runs. The bounds of the parser are the largest limit that settings allow, so only the sum decides. A router takes the limit from the configuration in force, 65,536 at least; routers also allow for their own header. Measured with tracemalloc, client included, for a connection with an unfinished head: 2.1 MB for 16,000 fields of 4 bytes (the most that 65,536 bytes can hold); before, 126 fields of 65 KB took 16.4 MB, which are now cut off.

Ruled out: one long field (accepted up to 65,536 bytes before), empty values, blanks around values and bytes above 127 in values are accepted on both versions.

--- a/src/sassafraswharf/gateway/router_node.py
+++ b/src/sassafraswharf/gateway/router_node.py
@@ -50,6 +50,9 @@
 
 MAX_BODY_BYTES: Final = 67_108_864
 MAX_HEADER_BYTES: Final = 65_536
+"""The least limit for the heads of callers, which a configuration may raise."""
+HOP_HEADER_BYTES: Final = 4_096
+"""What a router adds to the head of a request that it forwards."""
 HEADER_TIMEOUT_S: Final = 10.0
 HEARTBEATS_PER_HOLD: Final = 2.6
 """A hold outlasts two heartbeats, one of which may be lost."""
@@ -208,16 +211,26 @@
         )
 
     async def follow_fleet(self) -> None:
-        """Forget what has left the fleet."""
+        """Follow the limits of the configuration; forget what has left the fleet."""
         while True:
-            await self.view.changed.wait(1.0)
             upstreams = self.view.fleet.upstreams
+            self.follow_limits()
             self.follow_upstream()
             self.choice.keep_only(set(upstreams))
             self.hops.keep_only({one.router for one in upstreams.values()})
             routers = self.count_routers()
             for budget in self.ingress.budgets.values():
                 budget.routers = routers
+            await self.view.changed.wait(1.0)
+
+    def follow_limits(self) -> None:
+        """Accept what the configuration lets callers send.
+
+        Forwarded requests also carry the header between routers.
+        """
+        configured = self.view.plan.plan.limits.max_header_bytes
+        self.callers.max_header_bytes = max(MAX_HEADER_BYTES, configured)
+        self.routers.max_header_bytes = self.callers.max_header_bytes + HOP_HEADER_BYTES
 
     # The upstream of this host.
 
--- a/src/sassafraswharf/router/http_server.py
+++ b/src/sassafraswharf/router/http_server.py
@@ -28,7 +28,18 @@
 
 
 KEEPALIVE_S: Final = 75.0
-MAX_LINE_BYTES: Final = 8_190
+PARSER_HEAD_BYTES: Final = 1_048_576
+"""The parser bounds the request line and each field; a head may consist of any one
+of them, so they have the largest ``max_header_bytes`` that settings allow. The whole
+head is bounded by ``HttpServer.max_header_bytes``."""
+SMALLEST_FIELD_BYTES: Final = 4
+"""A name of one character, its colon and the end of the line."""
+LINE_OVERHEAD_BYTES: Final = 14
+"""Two spaces, ``HTTP/1.1``, the end of the line and the empty line."""
+HEAD_TOO_LARGE: Final = (
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
+    b"Content-Length: 0\r\nConnection: close\r\n\r\n"
+)
 BACKLOG: Final = 1_024
 FIRST_SERVER_ERROR: Final = 500
 QUIET_S: Final = 0.25
@@ -42,23 +53,47 @@
     """Do nothing with the reason of a malformed request."""
 
 
+def head_bytes(request: web.BaseRequest) -> int:
+    """Return the length of a head, without the blanks around its values."""
+    line = len(request.method) + len(request.raw_path) + LINE_OVERHEAD_BYTES
+    return line + sum(
+        len(name) + len(value) + SMALLEST_FIELD_BYTES - 1
+        for name, value in request.raw_headers
+    )
+
+
 class GuardedProtocol(web.RequestHandler):
-    """Closes a connection that sends the head of a request too slowly.
+    """Closes a connection that sends the head of a request too slowly, or too long.
 
     aiohttp bounds the time between requests but not the time a caller takes to
-    send its headers, so that few slow callers could hold many connections.
+    send its headers, so that few slow callers could hold many connections. It
+    bounds each field and their number but not their sum. ``unread_bytes`` counts
+    what has arrived since a request or a part of its body was last recognised: a
+    head, the extensions of a chunk or trailers, all of which the parser keeps.
     """
 
-    __slots__ = ("head_timeout_s", "head_timer", "on_malformed")
+    __slots__ = (
+        "content",
+        "head_timeout_s",
+        "head_timer",
+        "max_header_bytes",
+        "on_malformed",
+        "unread_bytes",
+    )
 
+    content: StreamReader | None
     head_timeout_s: float
+    max_header_bytes: Callable[[], int]
     on_malformed: Callable[[str], None]
     head_timer: asyncio.TimerHandle | None
+    unread_bytes: int
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the timer of the first request."""
         super().connection_made(transport)
         self.head_timer = None
+        self.content = None
+        self.unread_bytes = 0
         self.start_head_timer()
 
     def connection_lost(self, exc: BaseException | None) -> None:
@@ -70,7 +105,33 @@
         """Start the timer when a new request begins on an idle connection."""
         if self.head_timer is None and self._current_request is None:
             self.start_head_timer()
+        before = self.progress()
         super().data_received(data)
+        if self._messages:
+            self.content = self._messages[-1][1]
+        if self.progress() != before:
+            self.unread_bytes = 0
+            return
+        if self._close or self._force_close or self._upgraded:
+            # The data is dropped, or bounded by aiohttp.
+            return
+        self.unread_bytes += len(data)
+        if self.unread_bytes > self.max_header_bytes():
+            self.refuse_head()
+
+    def progress(self) -> tuple[int, int]:
+        """Return the number of requests and the length of the last one's body."""
+        received = 0 if self.content is None else self.content.total_bytes
+        return self._request_count, received
+
+    def refuse_head(self) -> None:
+        """End a connection whose next head or trailers exceed the limit."""
+        if self.transport is None:
+            return
+        self.on_malformed("the head or the trailers are too large")
+        if self._current_request is None and not self._messages:
+            self.transport.write(HEAD_TOO_LARGE)
+        self.force_close()
 
     def handle_error(
         self,
@@ -127,18 +188,22 @@
     ) -> None:
         """Prepare a server that does not listen yet.
 
-        ``on_malformed`` gets the reason why a request was refused unread.
+        ``max_header_bytes`` bounds the request line and all fields together; it may
+        be changed later. ``on_malformed`` gets the reason why a request was refused
+        unread.
         """
         super().__init__(
             self.guard(handler),
             request_factory=self.create_request,
             handler_cancellation=True,
             keepalive_timeout=KEEPALIVE_S,
-            max_line_size=MAX_LINE_BYTES,
-            max_field_size=max_header_bytes,
+            max_line_size=PARSER_HEAD_BYTES,
+            max_field_size=PARSER_HEAD_BYTES,
+            max_headers=PARSER_HEAD_BYTES // SMALLEST_FIELD_BYTES,
             access_log=None,
         )
         self.max_body_bytes = max_body_bytes
+        self.max_header_bytes = max_header_bytes
         self.header_timeout_s = header_timeout_s
         self.on_malformed = on_malformed
         self.server: asyncio.Server | None = None
@@ -150,9 +215,14 @@
         """Create the protocol of a new connection."""
         protocol = GuardedProtocol(self, loop=self._loop, **self._kwargs)
         protocol.head_timeout_s = self.header_timeout_s
+        protocol.max_header_bytes = self.head_limit
         protocol.on_malformed = self.on_malformed
         return protocol
 
+    def head_limit(self) -> int:
+        """Return the largest head that is accepted now."""
+        return self.max_header_bytes
+
     def guard(self, handler: Handler) -> Handler:
         """Return the handler with the accounting of active requests."""
 
@@ -160,6 +230,11 @@
             protocol = request.protocol
             if isinstance(protocol, GuardedProtocol):
                 protocol.stop_head_timer()
+            if head_bytes(request) > self.max_header_bytes:
+                reason = "the head is too large"
+                self.on_malformed(reason)
+                failure = Failure(ResultCode.BAD_REQUEST, reason)
+                return to_response(refusal(failure), "", close=True)
             self.active += 1
             self.idle.clear()
             try:
--- /dev/null
+++ b/tests/gateway/test_caller_limits.py
@@ -0,0 +1,123 @@
+"""A router accepts the heads that the configuration in force allows."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import msgspec
+import pytest
+
+from aiohttp import web
+from result import Ok
+
+from sassafraswharf.fleet.values import FleetChange
+from sassafraswharf.fleet.values import Upstream
+from sassafraswharf.gateway.heartbeat import Heartbeat
+from sassafraswharf.gateway.hop_client import HopClient
+from sassafraswharf.gateway.upstream_choice import FleetChoice
+from sassafraswharf.platform.documents import decode_replacement
+from sassafraswharf.router.http_server import HttpServer
+from tests.gateway.test_planned_stop import LOOPBACK
+from tests.gateway.test_planned_stop import SELF
+from tests.gateway.test_planned_stop import free_port
+from tests.gateway.test_planned_stop import make_router
+from tests.gateway.test_planned_stop import work
+
+
+DOCUMENT = {
+    "version": "00000001",
+    "baseVersion": "00000000",
+    "routes": [
+        {
+            "name": "lookup",
+            "host": "a.example",
+            "pathPrefix": "/",
+            "routeType": "idempotent",
+            "service": "diary",
+            "timeout": "1500ms",
+            "targetLatency": "500ms",
+            "priority": 1,
+            "attempts": 2,
+        }
+    ],
+    "services": [{"name": "diary", "healthPath": "/healthz"}],
+    "limits": {
+        "maxHeaderBytes": 131_072,
+        "maxBodyBytes": 1_048_576,
+        "headerTimeout": "3000ms",
+        "idleTimeout": "15000ms",
+    },
+}
+FOLLOW_S = 0.3
+
+
+@pytest.mark.parametrize(
+    ("target_bytes", "fields"),
+    [
+        pytest.param(9_000, 0, id="line above 8,190 bytes"),
+        pytest.param(120_000, 0, id="line above the least limit"),
+        pytest.param(10, 129, id="more than 128 fields"),
+        pytest.param(10, 12_000, id="fields above the least limit"),
+    ],
+)
+def test_heads_that_the_configuration_allows_pass_both_routers(
+    target_bytes: int, fields: int
+) -> None:
+    """Guards against DENIED: 400 for a head shorter than its ``maxHeaderBytes``.
+
+    The same head reaches a router from a caller and, with the header between
+    routers, from another router.
+    """
+    target = "/" + "p" * target_bytes
+    extra = (("X", "value"),) * fields
+    seen: list[str] = []
+
+    async def serve(request: web.BaseRequest) -> web.Response:
+        seen.append(request.raw_path)
+        return web.Response(text="whole")
+
+    async def main() -> tuple[bytes, object]:
+        server = HttpServer(
+            serve, max_body_bytes=1_000, max_header_bytes=200_000, header_timeout_s=5.0
+        )
+        address = (LOOPBACK, await server.start(LOOPBACK, 0))
+        router = make_router(address)
+        assert router.local is not None
+        beat = Heartbeat(SELF, "diary", address, 100, False, 0.0, 1)
+        router.local.on_heartbeat(beat, router.clock.now())
+        caller_address = (LOOPBACK, free_port())
+        await router.start(caller_address)
+        upstream = Upstream(SELF, "diary", "h", LOOPBACK, "a", 100, False)
+        router.view.fleet.apply(1, FleetChange((upstream,), (), ()))
+        change = decode_replacement(msgspec.json.encode(DOCUMENT)).unwrap()
+        router.view.take_plan([change])
+        await asyncio.sleep(FOLLOW_S)
+        try:
+            reader, writer = await asyncio.open_connection(*caller_address)
+            lines = [f"GET {target} HTTP/1.1", "Host: a.example", "Connection: close"]
+            lines += [f"{name}: {value}" for name, value in extra]
+            writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+            received = await reader.read()
+            writer.close()
+            hops = HopClient(
+                router.node.first_peer_port,
+                FleetChoice("a", random.Random(1)),
+                router.clock,
+            )
+            one = work(router.clock.now())
+            one = one._replace(target=target, headers=(*one.headers, *extra))
+            outcome = await hops.run(one, upstream)
+            hops.close()
+        finally:
+            router.node = router.node._replace(
+                terms=router.node.terms._replace(grace_s=0.7)
+            )
+            await router.stop()
+            await server.stop()
+        return received, outcome
+
+    received, outcome = asyncio.run(main())
+    assert received.startswith(b"HTTP/1.1 200 ")
+    assert isinstance(outcome, Ok)
+    assert seen == [target, target]
--- a/tests/router/test_http_server.py
+++ b/tests/router/test_http_server.py
@@ -98,3 +98,101 @@
     """
     received = asyncio.run(finish_while_a_caller_connects(pause_s))
     assert received.endswith(b"whole")
+
+
+MAX_HEAD_BYTES = 16_384
+END = b"\r\n\r\n"
+
+
+def head_of(line_bytes: int, fields: int, field_bytes: int) -> bytes:
+    """Return a head with a long line, or many or long fields."""
+    start = b"GET /" + b"p" * line_bytes + b" HTTP/1.1\r\nHost:a"
+    name = b"\r\nx:"
+    value = b"v" * max(0, field_bytes - len(name))
+    return start + (name + value) * fields + END
+
+
+async def exchange(parts: list[bytes], max_header_bytes: int) -> tuple[bytes, int]:
+    """Return the answer to a request sent in parts, and how many were taken."""
+    server = HttpServer(
+        answer,
+        max_body_bytes=1_024,
+        max_header_bytes=max_header_bytes,
+        header_timeout_s=5.0,
+    )
+    port = await server.start("127.0.0.1", 0)
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    sent = 0
+    try:
+        async with asyncio.timeout(5):
+            for part in parts:
+                writer.write(part)
+                await writer.drain()
+                # The server reads each part on its own.
+                await asyncio.sleep(0.002)
+                sent += 1
+            received = await reader.read(65_536)
+    except ConnectionError:
+        received = b""
+    finally:
+        writer.close()
+        await server.stop()
+    return received, sent
+
+
+@pytest.mark.parametrize("in_parts", [False, True])
+@pytest.mark.parametrize(
+    ("line_bytes", "fields", "field_bytes"),
+    [
+        pytest.param(8_300, 0, 0, id="long line"),
+        pytest.param(16_300, 0, 0, id="line as long as a head may be"),
+        pytest.param(10, 200, 10, id="more than 128 fields"),
+        pytest.param(10, 3_200, 5, id="as many fields as a head may have"),
+        pytest.param(10, 1, 16_300, id="one long field"),
+        pytest.param(6_000, 50, 200, id="line and fields"),
+    ],
+)
+def test_a_head_within_the_limit_is_accepted_in_any_shape(
+    line_bytes: int, fields: int, field_bytes: int, in_parts: bool
+) -> None:
+    """Guards against DENIED: 400 for a head shorter than ``max_header_bytes``.
+
+    The parser allowed a request line of 8,190 bytes and 128 fields, whatever the
+    limit was.
+    """
+    head = head_of(line_bytes, fields, field_bytes)
+    assert len(head) <= MAX_HEAD_BYTES
+    size = 1_000 if in_parts else len(head)
+    parts = [head[at : at + size] for at in range(0, len(head), size)]
+    received, _ = asyncio.run(exchange(parts, MAX_HEAD_BYTES))
+    assert received.startswith(b"HTTP/1.1 200 ")
+    assert received.endswith(b"whole")
+
+
+CHUNKED = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("start", "part"),
+    [
+        pytest.param(b"GET /", b"p" * 1_000, id="request line"),
+        pytest.param(b"GET / HTTP/1.1\r\nx:", b"v" * 1_000, id="one field"),
+        pytest.param(b"GET / HTTP/1.1\r\n", b"x:" + END[:2], id="fields"),
+        pytest.param(CHUNKED + b"0\r\n", b"x:" + b"v" * 998 + END[:2], id="trailers"),
+        pytest.param(CHUNKED + b"1;", b"e" * 1_000, id="extension of a chunk"),
+    ],
+)
+def test_an_endless_head_is_cut_off(start: bytes, part: bytes) -> None:
+    """Guards against memory of a connection that grows with what it sends."""
+    part *= -(-1_000 // len(part))
+    received, sent = asyncio.run(exchange([start] + [part] * 200, MAX_HEAD_BYTES))
+    assert sent < 2 * MAX_HEAD_BYTES // len(part)
+    assert not received.startswith(b"HTTP/1.1 200 ")
+
+
+@pytest.mark.parametrize(("extra", "status"), [(0, 200), (1, 400)])
+def test_a_whole_head_is_held_to_the_limit(extra: int, status: int) -> None:
+    """Guards against a limit that counts each field for itself."""
+    head = head_of(10, 100, 100)
+    received, _ = asyncio.run(exchange([head], len(head) - extra))
+    assert received.split()[1] == str(status).encode()
