Never blame a caller for what another router rejects

What callers saw: 400 for a proper request whose upstream was behind a router that could not run it.

Cause: a router without an upstream beside it, or that can't read the header between routers (another release during a rolling stop), rejects with BAD_REQUEST. The router that took the request passed that code on, and it stands for status 400, after which no caller comes back. The same held for any other code of a 4xx status.

Not shown: that this happened on the deployment; its routers all have an upstream.

Why this works: the request has passed the checks of the router that took it, so the sender turns such codes into a failure of that upstream: not run (503, and another upstream is tried) or unknown (502), as the other router says.

Ruled out: an answer of aiohttp's own to a hop (400 without the header of the outcome) is an unknown outcome and becomes 502.

--- a/src/sassafraswharf/gateway/hop_client.py
+++ b/src/sassafraswharf/gateway/hop_client.py
@@ -19,6 +19,7 @@
 from sassafraswharf.gateway.message_text import read_body
 from sassafraswharf.gateway.message_text import request_head
 from sassafraswharf.gateway.message_text import response_headers
+from sassafraswharf.gateway.responses import CALLER_FAULTS
 from sassafraswharf.gateway.work import Answer
 from sassafraswharf.gateway.work import Rejection
 
@@ -109,5 +110,19 @@
             return Ok(Answer(response.status, headers, body, stream))
         pool.release(connection)
         if rejection is not None:
-            return Err(rejection)
+            return Err(self.as_failure(rejection))
         return Ok(Answer(response.status, headers, body))
+
+    def as_failure(self, rejection: Rejection) -> Rejection:
+        """Return a rejection for which the caller is not to blame.
+
+        This router has found the request proper, so another one that finds fault
+        with it can't serve it, as a router without an upstream or of another
+        release.
+        """
+        if rejection.code not in CALLER_FAULTS:
+            return rejection
+        code = (
+            ResultCode.NO_UPSTREAM if rejection.not_run else ResultCode.OUTCOME_UNKNOWN
+        )
+        return rejection._replace(code=code)
--- a/src/sassafraswharf/gateway/responses.py
+++ b/src/sassafraswharf/gateway/responses.py
@@ -23,6 +23,11 @@
     ResultCode.BODY_TOO_LARGE: 413,
     ResultCode.UPSTREAM_TIMEOUT: 504,
 }
+FIRST_SERVER_ERROR: Final = 500
+CALLER_FAULTS: Final = frozenset(
+    code for code, status in STATUS_OF.items() if status < FIRST_SERVER_ERROR
+)
+"""Codes that tell a caller not to send its request again."""
 NOT_RUN_STATUS: Final = 503
 UNKNOWN_STATUS: Final = 502
 REFUSED_RETRY_S: Final = 0.1
--- /dev/null
+++ b/tests/gateway/test_hop_client.py
@@ -0,0 +1,114 @@
+"""What a router makes of the answers of other routers."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from aiohttp import web
+from result import Err
+
+from sassafraswharf.clock import BootClock
+from sassafraswharf.codes import ResultCode
+from sassafraswharf.fleet.values import Instance
+from sassafraswharf.fleet.values import Upstream
+from sassafraswharf.gateway.hop_client import HopClient
+from sassafraswharf.gateway.hop_codec import OUTCOME
+from sassafraswharf.gateway.hop_codec import encode_outcome
+from sassafraswharf.gateway.hop_server import HopServer
+from sassafraswharf.gateway.responses import refuse
+from sassafraswharf.gateway.upstream_choice import FleetChoice
+from sassafraswharf.gateway.work import LoadHint
+from sassafraswharf.gateway.work import Rejection
+from sassafraswharf.observability.decision_log import DecisionLog
+from sassafraswharf.platform.names import HEADER_NAMES
+from sassafraswharf.router.http_server import HttpServer
+from tests.gateway.test_planned_stop import LOOPBACK
+from tests.gateway.test_planned_stop import work
+
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
+UPSTREAM = Upstream(Instance("i-1", 7), "diary", "h", LOOPBACK, "a", 100, False)
+
+
+def rejecting(rejection: Rejection) -> Handler:
+    """Return a router that rejects everything."""
+    headers = {OUTCOME: encode_outcome(rejection, LoadHint(0, 0, 1, 0.0))}
+
+    async def handle(_request: web.BaseRequest) -> web.StreamResponse:
+        return web.Response(status=503, headers=headers)
+
+    return handle
+
+
+async def answer_without_outcome(_request: web.BaseRequest) -> web.StreamResponse:
+    return web.Response(status=404)
+
+
+def without_upstream() -> Handler:
+    """Return a router that has no upstream beside it."""
+    log = DecisionLog("h", -1)
+    return HopServer(HEADER_NAMES, None, BootClock(), log).handle
+
+
+def status_for_caller(handler: Handler) -> int:
+    """Return the status of a request whose only upstream is behind a router."""
+
+    async def main() -> int:
+        server = HttpServer(
+            handler, max_body_bytes=1_000, max_header_bytes=8_000, header_timeout_s=5.0
+        )
+        port = await server.start(LOOPBACK, 0)
+        clock = BootClock()
+        hops = HopClient(port, FleetChoice("a", random.Random(1)), clock)
+        try:
+            outcome = await hops.run(work(clock.now()), UPSTREAM)
+        finally:
+            hops.close()
+            await server.stop()
+        assert isinstance(outcome, Err)
+        return refuse(outcome.err_value, "r", {}, close=False).status
+
+    return asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ("handler", "status"),
+    [
+        pytest.param(without_upstream(), 503, id="no upstream beside the router"),
+        pytest.param(answer_without_outcome, 502, id="an answer without an outcome"),
+        *(
+            pytest.param(
+                rejecting(Rejection(code, "refused", not_run)),
+                503 if not_run else 502,
+                id=f"{code.name}, {'not run' if not_run else 'unknown'}",
+            )
+            for code in (
+                ResultCode.BAD_REQUEST,
+                ResultCode.KEY_MISSING,
+                ResultCode.UNKNOWN_SERVICE,
+                ResultCode.BODY_TOO_LARGE,
+            )
+            for not_run in (True, False)
+        ),
+    ],
+)
+def test_what_another_router_rejects_is_not_the_fault_of_the_caller(
+    handler: Handler, status: int
+) -> None:
+    """Guards against DENIED: 400 since another router refused to run a request.
+
+    The request had passed the checks of the router that took it from its caller,
+    and a caller doesn't come back after 400, 404 or 413.
+    """
+    assert status_for_caller(handler) == status
