Find the route of a host in any case and of an absolute URI

What callers saw: 404 for a request on a route that is there, if the host header is written in other letters than the route, or the request line has the absolute form.

Cause: the table compared host names by their letters, and the whole URI was taken for a path. Host names have no case (RFC 9110, section 4.2.3), and a server must accept the absolute form and ignore the host header then (RFC 9112, section 3.2.2).

Not shown: that callers of the deployment send such requests.

Why this works: the table is built and searched with host names in lower case; two routes whose hosts differ only in case are the same place, which a check refuses already. The absolute form is split before the route is looked up, and the upstream gets its path and query unchanged and one host header.

Ruled out: a port in the host header, encoded and repeated slashes, dots, percent signs without digits and other odd characters of a path were matched and passed on unchanged before. A host with a dot at its end stays another name.

--- a/src/sassafraswharf/gateway/request_reader.py
+++ b/src/sassafraswharf/gateway/request_reader.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+
 from typing import TYPE_CHECKING
 from typing import Final
 from typing import NamedTuple
@@ -26,6 +28,14 @@
 
 NO_CONFIGURATION_RETRY_S: Final = 0.1
 MAX_CALLER_DEADLINE_S: Final = 600.0
+ABSOLUTE_FORM: Final = re.compile(r"https?://([^/?#]*)(.*)", re.IGNORECASE)
+
+
+class Place(NamedTuple):
+    """Host with port and path with query of a request, as its caller wrote them."""
+
+    authority: str
+    target: str
 
 
 class Target(NamedTuple):
@@ -35,6 +45,19 @@
     service: str
 
 
+def place_of(request: web.BaseRequest) -> Place:
+    """Return where a request goes; the absolute form goes before the host header.
+
+    That form is translated, since an upstream is sent the path alone.
+    """
+    target = request.raw_path
+    matched = ABSOLUTE_FORM.fullmatch(target)
+    if matched is None:
+        return Place(request.headers.get("Host", ""), target)
+    authority, rest = matched.groups()
+    return Place(authority, rest if rest.startswith("/") else f"/{rest}")
+
+
 class RequestReader:
     """Finds the route of a request and reads its key, terms and body.
 
@@ -50,9 +73,8 @@
         self.view = view
         self.split = TrafficSplit(offset)
         self.full_deadlines: dict[str, float] = {}
-        self.excluded = frozenset(
-            name.lower() for name in (names.deadline_ms, names.instance, names.origin)
-        )
+        set_here = (names.deadline_ms, names.instance, names.origin, "Host")
+        self.excluded = frozenset(name.lower() for name in set_here)
 
     def find_target(self, request: web.BaseRequest, now: float) -> Target | Rejection:
         """Return the route and service of a request, or why there is none."""
@@ -61,8 +83,9 @@
             message = "no configuration is known yet"
             code = ResultCode.CONFIGURATION_UNAVAILABLE
             return Rejection(code, message, True, False, NO_CONFIGURATION_RETRY_S)
-        host = request.headers.get("Host", "").partition(":")[0]
-        path = request.raw_path.partition("?")[0]
+        place = place_of(request)
+        host = place.authority.partition(":")[0]
+        path = place.target.partition("?")[0]
         route = table.find(host, path)
         if route is None:
             message = f"no route for {host} in version {table.version}"
@@ -81,15 +104,19 @@
         key = self.key_of(request, target.service, now)
         if isinstance(key, Rejection):
             return key
+        place = place_of(request)
         body, rest = await read_body(request.content)
         return Work(
             request_id,
             request.method,
-            request.raw_path,
-            tuple(
-                field
-                for field in end_to_end(request.headers.items())
-                if field[0].lower() not in self.excluded
+            place.target,
+            (
+                ("Host", place.authority),
+                *(
+                    field
+                    for field in end_to_end(request.headers.items())
+                    if field[0].lower() not in self.excluded
+                ),
             ),
             body if rest is None else b"",
             None if rest is None else as_chunks(body, rest),
--- a/src/sassafraswharf/routing/route_table.py
+++ b/src/sassafraswharf/routing/route_table.py
@@ -16,7 +16,7 @@
 
     The prefixes of a host name are looked up from the longest to the shortest
     one that the path has, so the cost follows the depth of the path and not the
-    number of routes.
+    number of routes. Host names have no case.
     """
 
     def __init__(self, plan: RoutePlan) -> None:
@@ -27,13 +27,14 @@
             service.name: service for service in plan.services
         }
         self.routes: dict[tuple[str, str], Route] = {
-            (route.host, route.prefix): route for route in plan.routes
+            (route.host.lower(), route.prefix): route for route in plan.routes
         }
         self.names = {route.name: route for route in plan.routes}
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of ``path``, if there is one."""
         routes = self.routes
+        host = host.lower()
         end = path.rfind("/")
         while end >= 0:
             route = routes.get((host, path[: end + 1]))
--- a/src/sassafraswharf/routing/validation.py
+++ b/src/sassafraswharf/routing/validation.py
@@ -29,7 +29,7 @@
     known = set(services)
     for route in plan.routes:
         yield from _problems_of_route(route, known)
-        place = (route.host, route.prefix)
+        place = (route.host.lower(), route.prefix)
         if place in places:
             yield f"route {route.name}: the same place as {places[place]}"
         places[place] = route.name
--- /dev/null
+++ b/tests/gateway/test_request_reader.py
@@ -0,0 +1,157 @@
+"""Which requests of callers are read, and what upstreams get of them."""
+
+from __future__ import annotations
+
+import asyncio
+
+from typing import TYPE_CHECKING
+
+import msgspec
+import pytest
+
+from result import Ok
+
+from sassafraswharf.gateway.work import Answer
+from sassafraswharf.platform.documents import decode_replacement
+from sassafraswharf.router.http_server import HttpServer
+from tests.gateway.test_ingress import Hops
+from tests.gateway.test_ingress import make_ingress
+
+
+if TYPE_CHECKING:
+    from sassafraswharf.fleet.values import Upstream
+    from sassafraswharf.gateway.local_upstream import Outcome
+    from sassafraswharf.gateway.work import Work
+
+
+LOOPBACK = "127.0.0.1"
+ROUTE = {
+    "name": "lookup",
+    "host": "a.example",
+    "pathPrefix": "/p/",
+    "routeType": "idempotent",
+    "service": "s",
+    "timeout": "1500ms",
+    "targetLatency": "500ms",
+    "priority": 1,
+    "attempts": 2,
+}
+DOCUMENT = {
+    "version": "00000001",
+    "baseVersion": "00000000",
+    "routes": [ROUTE, {**ROUTE, "name": "upper", "host": "Upper.Example"}],
+    "services": [{"name": "s", "healthPath": "/healthz"}],
+}
+WAIT_S = 5.0
+
+
+class RecordingHops(Hops):
+    """An upstream that records the requests which it runs."""
+
+    def __init__(self) -> None:
+        super().__init__([])
+        self.seen: list[tuple[str, str, bytes]] = []
+        self.fields: list[tuple[str, str]] = []
+
+    async def run(self, work: Work, _upstream: Upstream) -> Outcome:
+        self.seen.append((work.method, work.target, work.body))
+        self.fields.extend(work.headers)
+        return Ok(Answer(200, (), b"whole"))
+
+
+def request(line: str, *fields: str, host: str = "a.example") -> bytes:
+    """Return the head of a request in Latin-1."""
+    lines = (f"{line} HTTP/1.1", f"Host: {host}", "Request-Id: r", *fields)
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+
+
+async def send(hops: RecordingHops, *parts: bytes) -> list[int]:
+    """Send the parts of a request; return the statuses that come back.
+
+    Each part but the first is sent after something came back.
+    """
+    ingress = make_ingress(hops)
+    ingress.view.take_plan([decode_replacement(msgspec.json.encode(DOCUMENT)).unwrap()])
+    server = HttpServer(
+        ingress.handle,
+        max_body_bytes=1_000,
+        max_header_bytes=8_000,
+        header_timeout_s=5.0,
+        on_malformed=ingress.on_malformed,
+    )
+    port = await server.start(LOOPBACK, 0)
+    reader, writer = await asyncio.open_connection(LOOPBACK, port)
+    statuses = []
+    try:
+        async with asyncio.timeout(WAIT_S):
+            for part in parts:
+                writer.write(part)
+                head = await reader.readuntil(b"\r\n\r\n")
+                statuses.append(int(head.split()[1]))
+    finally:
+        writer.close()
+        await server.stop()
+    return statuses
+
+
+@pytest.mark.parametrize(
+    ("line", "host", "target"),
+    [
+        ("GET /p/x", "a.example", "/p/x"),
+        ("GET /p/x", "a.example:8080", "/p/x"),
+        ("GET /p/x", "A.Example", "/p/x"),
+        ("GET /p/x", "A.EXAMPLE:80", "/p/x"),
+        ("GET /p/x", "upper.example", "/p/x"),
+        ("GET /p/x", "Upper.Example", "/p/x"),
+        ("GET http://a.example/p/x", "a.example", "/p/x"),
+        ("GET HTTP://A.Example:80/p/x?q=/1", "a.example", "/p/x?q=/1"),
+        ("GET http://a.example/p/x", "other.example", "/p/x"),
+        ("GET /p/http://b/?u=http://c/", "a.example", "/p/http://b/?u=http://c/"),
+        ("GET /p/%2e%2e/%ff%zz", "a.example", "/p/%2e%2e/%ff%zz"),
+        ("GET /p//x/../y", "a.example", "/p//x/../y"),
+    ],
+)
+def test_a_route_is_found_however_its_place_is_written(
+    line: str, host: str, target: str
+) -> None:
+    """Guards against DENIED: 404 for a host in other letters or a whole URI.
+
+    Host names have no case (RFC 9110, section 4.2.3), and a server accepts the
+    absolute form, whose host goes before the header (RFC 9112, section 3.2.2).
+    """
+    hops = RecordingHops()
+    assert asyncio.run(send(hops, request(line, host=host))) == [200]
+    assert hops.seen == [("GET", target, b"")]
+
+
+@pytest.mark.parametrize(
+    ("line", "host"),
+    [
+        ("GET /P/x", "a.example"),
+        ("GET /p", "a.example"),
+        ("GET /p/x", "b.example"),
+        ("GET http://b.example/p/x", "a.example"),
+        ("GET http://a.example", "a.example"),
+        ("OPTIONS *", "a.example"),
+    ],
+)
+def test_another_place_has_no_route(line: str, host: str) -> None:
+    """Guards against a route that is found for what it doesn't cover (ROUTE)."""
+    hops = RecordingHops()
+    assert asyncio.run(send(hops, request(line, host=host))) == [404]
+    assert not hops.seen
+
+
+@pytest.mark.parametrize(
+    ("line", "host", "expected"),
+    [
+        ("GET /p/x", "A.Example:80", "A.Example:80"),
+        ("GET http://a.example:80/p/x", "other.example", "a.example:80"),
+    ],
+)
+def test_an_upstream_gets_one_host(line: str, host: str, expected: str) -> None:
+    """Guards against a host header that contradicts the route of its request."""
+    hops = RecordingHops()
+    asyncio.run(send(hops, request(line, host=host)))
+    fields = [value for name, value in hops.fields if name.lower() == "host"]
+    assert fields == [expected]
