Pass on the bodies of requests in their content encoding

What callers saw: 502 for a request with a Content-Encoding that its body doesn't have. One whose body has it reached the upstream decoded, still under the name of the encoding, so the body was changed (UNASKED).

Cause: aiohttp decodes gzip, deflate, br and zstd unless it is told not to. The client side is told so, the server was not.

Not shown: that callers of the deployment send encoded bodies.

Why this works: HttpServer turns the decoding off. Nothing in the product reads an encoded body, and a small body no longer grows in memory when it is decoded.

--- a/src/sassafraswharf/router/http_server.py
+++ b/src/sassafraswharf/router/http_server.py
@@ -174,7 +174,8 @@
 class HttpServer(web.Server):
     """A listening HTTP port with limits on heads and bodies.
 
-    A handler is cancelled when its caller closes the connection.
+    A handler is cancelled when its caller closes the connection. Bodies are left in
+    their content encoding, since they are passed on with the header that names it.
     """
 
     def __init__(
@@ -200,6 +201,7 @@
             max_line_size=PARSER_HEAD_BYTES,
             max_field_size=PARSER_HEAD_BYTES,
             max_headers=PARSER_HEAD_BYTES // SMALLEST_FIELD_BYTES,
+            auto_decompress=False,
             access_log=None,
         )
         self.max_body_bytes = max_body_bytes
--- a/tests/gateway/test_request_reader.py
+++ b/tests/gateway/test_request_reader.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gzip
 
 from typing import TYPE_CHECKING
 
@@ -155,3 +156,25 @@
     asyncio.run(send(hops, request(line, host=host)))
     fields = [value for name, value in hops.fields if name.lower() == "host"]
     assert fields == [expected]
+
+
+@pytest.mark.parametrize("encoding", ["gzip", "deflate", "br", "zstd", "identity"])
+@pytest.mark.parametrize(
+    "body",
+    [
+        pytest.param(b"not encoded", id="not encoded"),
+        pytest.param(gzip.compress(b"encoded" * 9, mtime=0), id="gzip"),
+    ],
+)
+def test_an_encoded_body_is_passed_on_as_it_is(encoding: str, body: bytes) -> None:
+    """Guards against 502 for an encoded body, and against a body that is changed.
+
+    aiohttp decodes bodies unless it is told not to; the upstream then got the
+    decoded body with the name of the encoding (UNASKED).
+    """
+    hops = RecordingHops()
+    fields = (f"Content-Length: {len(body)}", f"Content-Encoding: {encoding}")
+    head = request("POST /p/x", *fields)
+    assert asyncio.run(send(hops, head + body)) == [200]
+    assert hops.seen == [("POST", "/p/x", body)]
+    assert ("Content-Encoding", encoding) in hops.fields
