Answer callers that ask before they send their body

What callers saw: no answer to a proper request with "Expect: 100-continue" until they gave up or sent the body unasked.

Cause: aiohttp sends the status 100 only for routes of its own router, which the servers here don't use; the router waits for the body before it chooses an upstream.

Not shown: that callers of the deployment use it.

Why this works: the server writes the status 100 before the handler, if the request is HTTP/1.1 and has a body. It does so also for a request that will be refused, because the connection stays in order only if it is known that the body comes.

Ruled out: requests with this header and no body, HTTP/1.0 and other expectations were answered before, and still are without the status 100.

--- a/src/sassafraswharf/router/http_server.py
+++ b/src/sassafraswharf/router/http_server.py
@@ -8,6 +8,7 @@
 from typing import Any
 from typing import Final
 
+from aiohttp import HttpVersion11
 from aiohttp import web
 
 from sassafraswharf.codes import ResultCode
@@ -36,6 +37,7 @@
 """A name of one character, its colon and the end of the line."""
 LINE_OVERHEAD_BYTES: Final = 14
 """Two spaces, ``HTTP/1.1``, the end of the line and the empty line."""
+CONTINUE: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
 HEAD_TOO_LARGE: Final = (
     b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
     b"Content-Length: 0\r\nConnection: close\r\n\r\n"
@@ -62,6 +64,21 @@
     )
 
 
+async def invite_body(request: web.BaseRequest) -> None:
+    """Tell a caller that waits for it to send its body (RFC 9110, section 10.1.1).
+
+    Also done for what will be refused: a refusal in place of the status 100 would
+    leave open whether the body still comes.
+    """
+    expected = request.headers.get("Expect", "").lower()
+    if expected != "100-continue" or request.version < HttpVersion11:
+        return
+    if request.can_read_body:
+        await request.writer.write(CONTINUE)
+        # Only the answer itself counts as output.
+        request.writer.output_size = 0
+
+
 class GuardedProtocol(web.RequestHandler):
     """Closes a connection that sends the head of a request too slowly, or too long.
 
@@ -240,6 +257,7 @@
             self.active += 1
             self.idle.clear()
             try:
+                await invite_body(request)
                 return await handler(request)
             finally:
                 self.active -= 1
--- a/tests/gateway/test_request_reader.py
+++ b/tests/gateway/test_request_reader.py
@@ -158,6 +158,45 @@
     assert fields == [expected]
 
 
+@pytest.mark.parametrize(
+    ("expect", "statuses"),
+    [("100-continue", [100, 200]), ("100-Continue", [100, 200])],
+)
+@pytest.mark.parametrize(
+    ("length", "body"),
+    [
+        ("Content-Length: 3", b"abc"),
+        ("Transfer-Encoding: chunked", b"3\r\nabc\r\n0\r\n\r\n"),
+    ],
+)
+def test_a_caller_that_asks_first_is_told_to_send_its_body(
+    expect: str, statuses: list[int], length: str, body: bytes
+) -> None:
+    """Guards against a caller and a router that wait for each other.
+
+    A caller may wait for the status 100 before it sends its body (RFC 9110, section
+    10.1.1). aiohttp's low-level server never sends it, and a router reads the body
+    first.
+    """
+    hops = RecordingHops()
+    head = request("POST /p/x", length, f"Expect: {expect}")
+    assert asyncio.run(send(hops, head, body)) == statuses
+    assert hops.seen == [("POST", "/p/x", b"abc")]
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        request("GET /p/x", "Expect: 100-continue"),
+        request("GET /p/x", "Expect: something"),
+        request("GET /p/x", "Expect: 100-continue").replace(b"/1.1", b"/1.0"),
+    ],
+)
+def test_a_caller_without_a_body_is_answered_at_once(head: bytes) -> None:
+    """Guards against a status 100 where the answer is expected."""
+    assert asyncio.run(send(RecordingHops(), head)) == [200]
+
+
 @pytest.mark.parametrize("encoding", ["gzip", "deflate", "br", "zstd", "identity"])
 @pytest.mark.parametrize(
     "body",
