Confirm the configuration in the tests of the request reader

A router refuses for good only with a confirmed configuration; these tests were written beside that change and expect the 404 of a router that knows. Their assertions are as before.

--- a/tests/gateway/test_request_reader.py
+++ b/tests/gateway/test_request_reader.py
@@ -73,6 +73,7 @@
     """
     ingress = make_ingress(hops)
     ingress.view.take_plan([decode_replacement(msgspec.json.encode(DOCUMENT)).unwrap()])
+    ingress.view.confirm_plan(1, ingress.clock.now())
     server = HttpServer(
         ingress.handle,
         max_body_bytes=1_000,
