Bound what an upstream may send without a part of its answer

Cause: HttpConnection relied on the limits of aiohttp's parser. These bound a field (64 KiB here) and the number of fields, together 8 MB, but not blank lines, interim answers, spaces before a field value, chunk sizes made of zeros, chunk extensions or answers to other requests. The body of a skipped answer filled a stream that nobody reads; it paused the socket, so that nothing more came until the deadline. A whole read (up to 256 KiB) was parsed at once, and bytes after a complete answer were parsed on.

Now 128 KiB in a row without a byte of the answer's body, a skipped answer that fills its stream, and a changed protocol end the exchange at once (OUTCOME_UNKNOWN before the head, ANSWER_INCOMPLETE after it). Reads are parsed 16 KiB at a time and not at all while the stream is paused. Bytes after the end of an answer close the connection.

Ruled out: status lines, field names, one field, many short fields and slow bytes were refused in time before, and bytes on an idle connection closed it. The answer of the leader counts as a body, so its length is not limited here.

--- a/src/sassafraswharf/gateway/http_connection.py
+++ b/src/sassafraswharf/gateway/http_connection.py
@@ -29,7 +29,15 @@
 READ_BUFFER_BYTES: Final = 65_536
 SILENT_PEER_MS: Final = 3_000
 FIRST_FINAL_STATUS: Final = 200
-UNBOUNDED_FIELD_BYTES: Final = 65_536
+SWITCHING_PROTOCOLS: Final = 101
+MAX_FIELD_BYTES: Final = 65_536
+MAX_OVERHEAD_BYTES: Final = 131_072
+"""Bytes that may come in a row without a byte of the body of the answer: its head,
+interim answers, answers to other requests, chunk extensions and trailers. aiohttp
+bounds one field and their number, together 8 MB, but neither blank lines, spaces,
+interim answers nor chunk extensions. A stream buffers as much before it pauses."""
+PARSE_STEP_BYTES: Final = 16_384
+"""Parsed at a time, so that few of many small messages in one read are in memory."""
 
 
 class ResponseHead(NamedTuple):
@@ -65,6 +73,9 @@
         self.idle_limit_s = 0.0
         self.waiter: asyncio.Future[ResponseHead] | None = None
         self.content: StreamReader | None = None
+        self.overhead_bytes = 0
+        self.body_bytes = 0
+        self.unparsed = b""
 
     @classmethod
     async def connect(
@@ -108,12 +119,15 @@
             raise ExchangeError("the connection is closed", sent=False)
         self.is_idle = False
         self.identity = identity
+        self.overhead_bytes = 0
+        self.body_bytes = 0
+        self.unparsed = b""
         self.waiter = self._loop.create_future()
         self._parser = HttpResponseParser(
             self,
             self._loop,
             READ_BUFFER_BYTES,
-            max_field_size=UNBOUNDED_FIELD_BYTES,
+            max_field_size=MAX_FIELD_BYTES,
             payload_exception=ClientPayloadError,
             response_with_body=has_response_body,
             read_until_eof=True,
@@ -162,7 +176,7 @@
 
     def finish(self) -> None:
         """Make the connection reusable after the whole response was read."""
-        if self.content is not None and not self.content.is_eof():
+        if self.unparsed or (self.content is not None and not self.content.is_eof()):
             self.condemned = True
         self.content = None
         self.waiter = None
@@ -179,22 +193,62 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse a part of a response."""
+        if self.content is not None and self.content.is_eof():
+            # What follows the answer belongs to no request, and nobody reads it.
+            self._parser = None
         if self._parser is None:
             if data:
                 self.abort()
             return
+        data, self.unparsed = self.unparsed + data, b""
+        start = 0
+        while self.parse(data[start : start + PARSE_STEP_BYTES]):
+            start += PARSE_STEP_BYTES
+            if start >= len(data):
+                return
+            if self._reading_paused:
+                # Resumed by ``resume_reading``. The pure Python parser copies what
+                # it holds back for each chunk of a body.
+                self.unparsed = data[start:]
+                return
+
+    def parse(self, data: bytes) -> bool:
+        """Parse some bytes; return whether the exchange can go on."""
+        if self._parser is None:
+            return False
         try:
             messages, _, tail = self._parser.feed_data(data)
         except HttpProcessingError as error:
             self.fail(f"the answer is malformed: {error.message}"[:200])
-            return
+            return False
         for message, content in messages:
             self.take(message, content)
         if tail:
             self.condemned = True
+        return self.is_within_limits(len(data))
+
+    def is_within_limits(self, size: int) -> bool:
+        """Count bytes without a part of the body, and fail when they are too many."""
+        content = self.content
+        body_bytes = content.total_bytes if content is not None else 0
+        if body_bytes != self.body_bytes or (content is not None and content.is_eof()):
+            self.body_bytes = body_bytes
+            self.overhead_bytes = 0
+            return True
+        self.overhead_bytes += size
+        if content is None and self._reading_paused:
+            self.fail("the answer to another request is too long to skip")
+            return False
+        if self.overhead_bytes <= MAX_OVERHEAD_BYTES:
+            return True
+        self.fail(f"more than {MAX_OVERHEAD_BYTES} bytes without a part of the answer")
+        return False
 
     def take(self, message: RawResponseMessage, content: StreamReader) -> None:
         """Accept a response, or skip one that belongs to another request."""
+        if message.code == SWITCHING_PROTOCOLS:
+            self.fail("the answer changes the protocol")
+            return
         if message.code < FIRST_FINAL_STATUS:
             return
         echoed = message.headers.get(self.identity_header, self.identity)
@@ -208,8 +262,9 @@
         waiter.set_result(ResponseHead(message.code, message.headers, content))
 
     def fail(self, reason: str) -> None:
-        """End the exchange and the connection."""
+        """End the exchange and the connection; nothing more is parsed."""
         self.abort()
+        self._parser = None
         self.end_exchange(reason)
 
     def end_exchange(self, reason: str) -> None:
