End a streamed answer at the deadline of its request

Callers got a body without end for as long as they stayed: the timeout of ingress.py and hop_server.py covers the answer up to its first 256 KiB, and pass_on streamed the rest without a limit. A caller that speaks HTTP/1.0 saw an answer that broke off as complete, since abort() alone closes the socket in order and such a body ends with a close.

pass_on now takes the time left (the earlier of the caller's deadline and the route's timeout; between routers what is left of it) for all that it writes, and resets the connection (SO_LINGER 0) whenever the answer has not come whole, also on cancellation. The rest is a LongAnswer, which pass_on closes in any case, so the connection to the upstream ends even when its generator was never started.

Ruled out: a caller that leaves ended the stream before this change as well, and other requests went on beside it.

--- a/src/sassafraswharf/gateway/hop_client.py
+++ b/src/sassafraswharf/gateway/hop_client.py
@@ -16,6 +16,7 @@
 from sassafraswharf.gateway.hop_codec import OUTCOME
 from sassafraswharf.gateway.hop_codec import decode_outcome
 from sassafraswharf.gateway.hop_codec import encode_hop
+from sassafraswharf.gateway.long_answer import LongAnswer
 from sassafraswharf.gateway.message_text import read_body
 from sassafraswharf.gateway.message_text import request_head
 from sassafraswharf.gateway.message_text import response_headers
@@ -105,9 +106,8 @@
         body, rest = await read_body(response.content)
         headers = response_headers(response)
         if rest is not None:
-            connection.handed_over = True
-            stream = connection.stream(rest)
-            return Ok(Answer(response.status, headers, body, stream))
+            long = LongAnswer(connection, rest)
+            return Ok(Answer(response.status, headers, body, long))
         pool.release(connection)
         if rejection is not None:
             return Err(self.as_failure(rejection))
--- a/src/sassafraswharf/gateway/hop_server.py
+++ b/src/sassafraswharf/gateway/hop_server.py
@@ -94,7 +94,10 @@
             )
             return self.reject(rejection)
         added = {OUTCOME: encode_outcome(None, local.hint())}
-        return await pass_on(request, outcome.ok_value, added, close=self.closing)
+        left_s = hop.terms.deadline_at - self.clock.now()
+        return await pass_on(
+            request, outcome.ok_value, added, left_s, close=self.closing
+        )
 
     async def read(self, request: web.BaseRequest, hop: HopTerms) -> Work:
         """Return a forwarded request with its body."""
--- a/src/sassafraswharf/gateway/http_connection.py
+++ b/src/sassafraswharf/gateway/http_connection.py
@@ -166,14 +166,6 @@
             raise ExchangeError("no request was sent", sent=False)
         return await self.waiter
 
-    async def stream(self, rest: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
-        """Yield the rest of a long answer and close the connection after it."""
-        try:
-            async for part in rest:
-                yield part
-        finally:
-            self.abort()
-
     def finish(self) -> None:
         """Make the connection reusable after the whole response was read."""
         if self.unparsed or (self.content is not None and not self.content.is_eof()):
--- a/src/sassafraswharf/gateway/ingress.py
+++ b/src/sassafraswharf/gateway/ingress.py
@@ -134,7 +134,10 @@
         )
         if isinstance(outcome, Ok):
             self.log_answer(work, target.route, progress, now)
-            return await pass_on(request, outcome.ok_value, {}, close=self.closing)
+            left_s = work.terms.deadline_at - self.clock.now()
+            return await pass_on(
+                request, outcome.ok_value, {}, left_s, close=self.closing
+            )
         self.log.record(
             "failed",
             request=request_id,
--- a/src/sassafraswharf/gateway/local_upstream.py
+++ b/src/sassafraswharf/gateway/local_upstream.py
@@ -18,6 +18,7 @@
 from sassafraswharf.gateway.connection_pool import ConnectionPool
 from sassafraswharf.gateway.connection_pool import idle_limit_s
 from sassafraswharf.gateway.heartbeat import Heartbeat
+from sassafraswharf.gateway.long_answer import LongAnswer
 from sassafraswharf.gateway.message_text import read_body
 from sassafraswharf.gateway.message_text import request_head
 from sassafraswharf.gateway.message_text import response_headers
@@ -318,9 +319,8 @@
         body, rest = await read_body(response.content)
         self.crashes.on_answer()
         if rest is not None:
-            connection.handed_over = True
-            stream = connection.stream(rest)
-            return Ok(Answer(response.status, response_headers(response), body, stream))
+            long = LongAnswer(connection, rest)
+            return Ok(Answer(response.status, response_headers(response), body, long))
         self.pool.release(connection, idle_limit_s(response))
         return self.classify(work, response, body)
 
--- a/src/sassafraswharf/gateway/responses.py
+++ b/src/sassafraswharf/gateway/responses.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
+import socket
+import struct
+
 from typing import TYPE_CHECKING
 from typing import Final
 
@@ -30,6 +35,7 @@
 """Codes that tell a caller not to send its request again."""
 NOT_RUN_STATUS: Final = 503
 UNKNOWN_STATUS: Final = 502
+RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
 REFUSED_RETRY_S: Final = 0.1
 """Time after which a caller may come back when no better one is known."""
 
@@ -38,13 +44,15 @@
     request: web.BaseRequest,
     answer: Answer,
     added: dict[str, str],
+    left_s: float,
     *,
     close: bool,
 ) -> web.StreamResponse:
     """Return an upstream's answer as it is, with headers ``added``.
 
-    A long answer that breaks off ends with a reset of the connection, so that
-    its receiver doesn't take a part for the whole; the error is raised.
+    A long answer that breaks off, or whose end has not come after ``left_s``, ends
+    with a reset of the connection, so that its receiver doesn't take a part for the
+    whole; the error is raised.
     """
     headers = CIMultiDict(answer.headers)
     headers.update(added)
@@ -56,19 +64,33 @@
     stream = web.StreamResponse(status=answer.status, headers=headers)
     if close:
         stream.force_close()
-    await stream.prepare(request)
+    whole = False
     try:
-        await stream.write(answer.body)
-        async for part in answer.rest:
-            await stream.write(part)
-    except Exception:
-        if request.transport is not None:
-            request.transport.abort()
-        raise
-    await stream.write_eof()
+        async with asyncio.timeout(left_s):
+            await stream.prepare(request)
+            await stream.write(answer.body)
+            async for part in answer.rest:
+                await stream.write(part)
+            await stream.write_eof()
+        whole = True
+    finally:
+        answer.rest.close()
+        if not whole and request.transport is not None:
+            reset(request.transport)
     return stream
 
 
+def reset(transport: asyncio.Transport) -> None:
+    """Close a connection so that its peer sees an error and not an end.
+
+    ``abort`` alone closes it in order, which ends a body without length.
+    """
+    sock = transport.get_extra_info("socket")
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    transport.abort()
+
+
 def refuse(
     rejection: Rejection, route: str, echoed: dict[str, str], *, close: bool
 ) -> web.Response:
--- a/src/sassafraswharf/gateway/work.py
+++ b/src/sassafraswharf/gateway/work.py
@@ -10,6 +10,7 @@
     from collections.abc import AsyncIterator
 
     from sassafraswharf.codes import ResultCode
+    from sassafraswharf.gateway.long_answer import LongAnswer
 
 
 class HeaderNames(NamedTuple):
@@ -64,12 +65,15 @@
 
 
 class Answer(NamedTuple):
-    """A whole answer of an upstream, or the beginning of a long one."""
+    """A whole answer of an upstream, or the beginning of a long one.
+
+    Whoever gets an answer with a ``rest`` closes it.
+    """
 
     status: int
     headers: tuple[tuple[str, str], ...]
     body: bytes
-    rest: AsyncIterator[bytes] | None = None
+    rest: LongAnswer | None = None
 
 
 class Rejection(NamedTuple):
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -461,6 +461,18 @@
     assert freed
 
 
+@pytest.mark.usefixtures("parser")
+@pytest.mark.parametrize("hops", [0, 1])
+@named(BODIES)
+def test_a_body_without_end_is_reset_at_the_deadline(kind: Endless, hops: int) -> None:
+    """Guards against bodies without end that are passed on until the caller leaves."""
+    seen, freed = ask_once(endless(kind), 600, hops=hops)
+    assert (seen.status, seen.whole) == (200, False)
+    assert seen.elapsed_s > 0.5
+    assert seen.took_s < 0.6 + LATE_S
+    assert freed
+
+
 @pytest.mark.usefixtures("parser")
 @pytest.mark.parametrize("hops", [0, 1])
 @named(LATE_FRAMINGS)
@@ -474,6 +486,31 @@
     assert freed
 
 
+@pytest.mark.parametrize(
+    ("deadline_ms", "timeout_ms"),
+    [(400, 9_000), (9_000, 400)],
+    ids=["deadline", "route"],
+)
+def test_a_body_without_end_is_reset_at_the_earlier_limit(
+    deadline_ms: int, timeout_ms: int
+) -> None:
+    """Guards against a body without end that outlasts its route's timeout (CONFIG)."""
+    script = endless(BODIES["chunks"])
+    seen, freed = ask_once(script, deadline_ms, timeout_ms=timeout_ms)
+    assert not seen.whole
+    assert seen.took_s < 0.4 + LATE_S
+    assert freed
+
+
+@pytest.mark.parametrize("hops", [0, 1])
+def test_a_body_without_end_never_looks_complete_to_an_old_caller(hops: int) -> None:
+    """Guards against a close that ends a body without end for HTTP/1.0 (MIXED)."""
+    seen, freed = ask_once(endless(BODIES["chunks"]), 400, hops=hops, version="1.0")
+    assert seen.size
+    assert seen.was_reset
+    assert freed
+
+
 @named(HEADS | FRAMINGS | BODIES | SMALL_PARTS)
 def test_slow_bytes_without_end_are_refused_at_the_deadline(kind: Endless) -> None:
     """Guards against bytes without end that come too slowly to reach a limit."""
