Hold the slot of a long answer until its end

An upstream got more requests than it has slots while long answers were streamed.

Cause: LocalUpstream.run freed the slot when the first 256 KiB had been read, though the upstream is still at work. One without end held a connection but no slot, and the next request was sent beside it.

LongAnswer calls on_end once when it is closed, and the slot is freed there. Only whole answers count for the service time, which now covers the whole of a long one.

Ruled out: a slot that is never freed.

--- a/src/sassafraswharf/gateway/local_upstream.py
+++ b/src/sassafraswharf/gateway/local_upstream.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from functools import partial
 from typing import TYPE_CHECKING
 from typing import Final
 
@@ -212,19 +213,30 @@
                 self.refuse(ResultCode.OVERLOADED, "the queue is too long", wait_s)
             )
         started_at = self.clock.now()
-        service_s: float | None = None
+        is_success = False
+        long: LongAnswer | None = None
         try:
             if not self.is_open(started_at):
                 code = ResultCode.NO_UPSTREAM
                 return Err(self.refuse(code, "the upstream has left"))
             outcome = await self.dispatch(work, instance)
-            if isinstance(outcome, Ok) and outcome.ok_value.status < SERVER_ERROR:
-                service_s = self.clock.now() - started_at
+            if isinstance(outcome, Ok):
+                is_success = outcome.ok_value.status < SERVER_ERROR
+                long = outcome.ok_value.rest
             return outcome
         finally:
-            self.load.on_end(started_at)
-            self.queue.finish(service_s)
-            self.start_waiting()
+            # The upstream is at work on a long answer until its end.
+            if long is None:
+                self.end(started_at, is_success, True)
+            else:
+                long.on_end = partial(self.end, started_at, is_success)
+
+    def end(self, started_at: float, is_success: bool, whole: bool) -> None:
+        """Free the slot of a request; only whole answers tell the speed."""
+        service_s = self.clock.now() - started_at
+        self.load.on_end(started_at)
+        self.queue.finish(service_s if is_success and whole else None)
+        self.start_waiting()
 
     async def wait_for_key(self, work: Work, instance: Instance) -> bool:
         """Wait until the upstream holds the key, if it is the one to get it."""
--- a/src/sassafraswharf/gateway/long_answer.py
+++ b/src/sassafraswharf/gateway/long_answer.py
@@ -7,6 +7,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
+    from collections.abc import Callable
 
     from sassafraswharf.gateway.http_connection import HttpConnection
 
@@ -22,12 +23,15 @@
         """Take over a connection of which ``rest`` yields the end of a body."""
         self.connection = connection
         self.rest = rest
+        self.on_end: Callable[[bool], None] = lambda _whole: None
         connection.handed_over = True
 
     def __aiter__(self) -> AsyncIterator[bytes]:
         """Yield the rest; raises what its stream raises when it is cut short."""
         return self.rest
 
-    def close(self) -> None:
-        """Close the connection, which also tells an upstream to stop its work."""
+    def close(self, *, whole: bool) -> None:
+        """Close the connection and tell whether the whole answer was passed on."""
         self.connection.abort()
+        on_end, self.on_end = self.on_end, lambda _whole: None
+        on_end(whole)
--- a/src/sassafraswharf/gateway/responses.py
+++ b/src/sassafraswharf/gateway/responses.py
@@ -74,7 +74,7 @@
             await stream.write_eof()
         whole = True
     finally:
-        answer.rest.close()
+        answer.rest.close(whole=whole)
         if not whole and request.transport is not None:
             reset(request.transport)
     return stream
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -521,6 +521,20 @@
     assert freed
 
 
+def test_a_body_without_end_holds_its_slot_until_it_is_closed() -> None:
+    """Guards against more requests than slots at an upstream without end."""
+
+    async def main() -> tuple[int, bool]:
+        async with running(endless(BODIES["chunks"])) as site:
+            asking = asyncio.create_task(ask(site.port, 800))
+            await asyncio.sleep(0.4)
+            held = site.local.queue.running
+            await asking
+            return held, await site.is_freed(LATE_S)
+
+    assert asyncio.run(main()) == (1, True)
+
+
 @pytest.mark.parametrize("hops", [0, 1])
 def test_a_caller_that_leaves_ends_a_body_without_end(hops: int) -> None:
     """Guards against an upstream that works without end for nobody (GONE)."""
