Read bodies into one buffer

A body that arrives in tiny parts took a multiple of its bytes, since read_body kept a list of parts until it had 256 KiB.

Evidence: test_a_body_in_small_parts_takes_little_memory (bound 1,024 KiB) failed before and passes now. Ruled out: the parts that the stream itself holds, as it pauses at 128 KiB.

docs/platform.md tells the limits for bytes without end.

--- a/src/sassafraswharf/gateway/message_text.py
+++ b/src/sassafraswharf/gateway/message_text.py
@@ -65,16 +65,15 @@
 
     Raises what the stream raises when the body is cut short.
     """
-    parts: list[bytes] = []
-    size = 0
+    # A list of many tiny parts would take a multiple of their bytes.
+    body = bytearray()
     while True:
         part = await content.readany()
         if not part and content.at_eof():
-            return b"".join(parts), None
-        parts.append(part)
-        size += len(part)
-        if size > WHOLE_BODY_BYTES:
-            return b"".join(parts), remaining(content)
+            return bytes(body), None
+        body += part
+        if len(body) > WHOLE_BODY_BYTES:
+            return bytes(body), remaining(content)
 
 
 async def remaining(content: StreamReader) -> AsyncIterator[bytes]:
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -20,6 +20,8 @@
 import pytest
 
 from aiohttp import http_parser
+from aiohttp.base_protocol import BaseProtocol
+from aiohttp.streams import StreamReader
 
 from sassafraswharf.clock import BootClock
 from sassafraswharf.exceptions import ExchangeError
@@ -36,6 +38,7 @@
 from sassafraswharf.gateway.ingress import Ingress
 from sassafraswharf.gateway.key_holds import KeyHolds
 from sassafraswharf.gateway.local_upstream import LocalUpstream
+from sassafraswharf.gateway.message_text import read_body
 from sassafraswharf.gateway.repeat_budget import RepeatBudget
 from sassafraswharf.gateway.request_reader import RequestReader
 from sassafraswharf.gateway.upstream_choice import FleetChoice
@@ -732,6 +735,31 @@
     assert time.process_time() - began < 1.0
 
 
+def test_a_body_in_small_parts_takes_little_memory() -> None:
+    """Guards against the overhead of tiny parts of a body without end."""
+
+    async def main() -> int:
+        protocol = BaseProtocol(asyncio.get_running_loop())
+        protocol.transport = MemoryTransport()
+        content = StreamReader(protocol, STEP_BYTES)
+        reading = asyncio.ensure_future(read_body(content))
+        tracemalloc.start()
+        try:
+            while not reading.done():
+                for number in range(16):
+                    content.feed_data(b"%02d" % number)
+                await asyncio.sleep(0)
+            peak = tracemalloc.get_traced_memory()[1]
+        finally:
+            tracemalloc.stop()
+        body, rest = reading.result()
+        assert len(body) > 262_144
+        assert rest is not None
+        return peak
+
+    assert asyncio.run(main()) < PEAK_BYTES
+
+
 def test_the_end_of_a_head_without_end_is_an_error() -> None:
     """Guards against a head without end that is reported as not sent."""
 
