Pass the reason of a malformed answer between routers

Over two routers, an answer that is no HTTP ended as a lost connection to the other router, and that one logged an unhandled exception.

Cause: the reason quotes aiohttp's error, which has several lines and may hold any character. As part of the outcome header it was refused by aiohttp ("Forbidden control character detected in headers"), so that the connection closed without an answer.

The reason is now one line of printable characters. Evidence: test_the_reason_for_bytes_without_end_passes_between_routers failed with the C parser over one router (several lines) and over two (the exception above), and passes now with both. Ruled out: the pure Python parser, whose reasons quote the bytes.

--- a/src/sassafraswharf/gateway/http_connection.py
+++ b/src/sassafraswharf/gateway/http_connection.py
@@ -16,6 +16,7 @@
 from aiohttp.http_parser import HttpResponseParser
 
 from sassafraswharf.exceptions import ExchangeError
+from sassafraswharf.gateway.message_text import one_line
 
 
 if TYPE_CHECKING:
@@ -29,6 +30,7 @@
 READ_BUFFER_BYTES: Final = 65_536
 SILENT_PEER_MS: Final = 3_000
 FIRST_FINAL_STATUS: Final = 200
+MAX_REASON_CHARACTERS: Final = 175
 SWITCHING_PROTOCOLS: Final = 101
 MAX_FIELD_BYTES: Final = 65_536
 MAX_OVERHEAD_BYTES: Final = 131_072
@@ -211,7 +213,8 @@
         try:
             messages, _, tail = self._parser.feed_data(data)
         except HttpProcessingError as error:
-            self.fail(f"the answer is malformed: {error.message}"[:200])
+            reason = one_line(error.message[:MAX_REASON_CHARACTERS])
+            self.fail(f"the answer is malformed: {reason}")
             return False
         for message, content in messages:
             self.take(message, content)
--- a/src/sassafraswharf/gateway/message_text.py
+++ b/src/sassafraswharf/gateway/message_text.py
@@ -53,6 +53,16 @@
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
+def one_line(text: str) -> str:
+    r"""Return a text that may quote any bytes as one that fits into a header.
+
+    >>> one_line("Bad status line:\n  \x01\udcff")
+    'Bad status line:'
+    """
+    printable = (sign if sign.isprintable() else " " for sign in text)
+    return " ".join("".join(printable).split())
+
+
 def response_headers(response: ResponseHead) -> tuple[tuple[str, str], ...]:
     """Return the headers of a response that go on to the caller."""
     return tuple(end_to_end(response.headers.items()))
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -464,6 +464,22 @@
     assert freed
 
 
+@pytest.mark.usefixtures("parser")
+@pytest.mark.parametrize("hops", [0, 1])
+def test_the_reason_for_bytes_without_end_passes_between_routers(hops: int) -> None:
+    """Guards against a refusal of bytes without end that is itself malformed.
+
+    A reason of several lines can't be sent in a header: the router beside the
+    upstream closed the connection instead, which looks like a lost router.
+    """
+    kind = Endless(b"\x01\r\n\xff", b"\x02\xfe\r\n" * 200)
+    seen, freed = ask_once(endless(kind), 4_000, hops=hops)
+    assert seen.status == 502
+    assert seen.text.startswith(b"3201 lookup: the answer is malformed")
+    assert seen.text.count(b"\n") == 1
+    assert freed
+
+
 @pytest.mark.usefixtures("parser")
 @pytest.mark.parametrize("hops", [0, 1])
 @named(BODIES)
