Give up an answer without end of a control host at once

A router kept what a control host sent in answer to a report for up to 1.1 s at the speed of the link, whatever its length, since reading a whole stream lifts its limit. Whole answers are below 64 KB, as changes come in parts; one above 256 KB is given up now, and another control host is asked.

Evidence: test_an_answer_without_end_of_a_control_host_is_given_up_at_once timed out before (0.4 s) and passes; the tests of narrow and squeezed links pass.

--- a/src/sassafraswharf/gateway/control_link.py
+++ b/src/sassafraswharf/gateway/control_link.py
@@ -23,6 +23,7 @@
 from sassafraswharf.fleet.transfer import MIN_PART_BYTES
 from sassafraswharf.fleet.transfer import PART_BYTES
 from sassafraswharf.gateway.http_connection import HttpConnection
+from sassafraswharf.gateway.message_text import read_body
 
 
 if TYPE_CHECKING:
@@ -208,7 +209,9 @@
         response = await connection.receive()
         cost.phase = "body"
         cost.content = response.content
-        content = await response.content.read()
+        content, rest = await read_body(response.content)
+        if rest is not None:
+            raise ExchangeError("the answer is too long", sent=True)
         connection.finish()
         if response.status != STATUS_OK:
             raise ExchangeError(f"status {response.status}", sent=True)
--- a/tests/gateway/test_control_link.py
+++ b/tests/gateway/test_control_link.py
@@ -15,6 +15,7 @@
 from sassafraswharf.fleet.sync import REQUEST_DECODER
 from sassafraswharf.fleet.sync import SyncReply
 from sassafraswharf.fleet.sync import SyncRequest
+from sassafraswharf.gateway.control_link import ANSWER_TIMEOUT_S
 from sassafraswharf.gateway.control_link import ControlLink
 from sassafraswharf.gateway.fleet_view import FleetView
 from sassafraswharf.observability.decision_log import DecisionLog
@@ -110,3 +111,30 @@
         await server.stop()
 
     asyncio.run(main())
+
+
+def test_an_answer_without_end_of_a_control_host_is_given_up_at_once() -> None:
+    """Guards against a body without end that is kept in memory until its time is over.
+
+    Whole answers are shorter than 64 KB, since changes come in parts.
+    """
+
+    async def main() -> None:
+        async def handle(request: web.BaseRequest) -> web.StreamResponse:
+            response = web.StreamResponse()
+            await response.prepare(request)
+            while True:
+                await response.write(bytes(65_536))
+
+        server = HttpServer(
+            handle, max_body_bytes=65_536, max_header_bytes=8_192, header_timeout_s=5.0
+        )
+        await server.start(LEADER, 17_710)
+        link = make_link((LEADER,), StoppedClock(), 17_710)
+        async with asyncio.timeout(ANSWER_TIMEOUT_S / 2):
+            connection, answered = await link.exchange(None, 0.0)
+        assert (connection, answered) == (None, False)
+        assert link.received_bytes < 1_048_576
+        await server.stop()
+
+    asyncio.run(main())
