--- a/src/sassafraswharf/gateway/router_node.py
+++ b/src/sassafraswharf/gateway/router_node.py
@@ -29,11 +29,6 @@
 
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable
-    from collections.abc import Callable
-
-    from aiohttp import web
-
     from sassafraswharf.clock import Clock
     from sassafraswharf.fleet.sync import Suspect
     from sassafraswharf.fleet.values import Instance
@@ -45,8 +40,6 @@
     from sassafraswharf.routing.plan_document import PlanReader
     from sassafraswharf.settings.node_schema import Node
 
-    Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
-
 
 MAX_BODY_BYTES: Final = 67_108_864
 MAX_HEADER_BYTES: Final = 65_536
@@ -129,25 +122,19 @@
             self.on_suspects,
         )
         self.crashes.on_crash = self.on_crash
-        self.callers = self.create_server(
-            self.ingress.handle, self.ingress.on_malformed
-        )
-        self.routers = self.create_server(
-            self.hop_server.handle, self.hop_server.on_malformed
-        )
+        self.callers = self.create_server(self.ingress)
+        self.routers = self.create_server(self.hop_server)
         self.stopping = False
         self.tasks: list[asyncio.Task[None]] = []
 
-    def create_server(
-        self, handler: Handler, on_malformed: Callable[[str], None]
-    ) -> HttpServer:
+    def create_server(self, part: Ingress | HopServer) -> HttpServer:
         """Return a server with the limits of this process."""
         return HttpServer(
-            handler,
+            part.handle,
             max_body_bytes=MAX_BODY_BYTES,
             max_header_bytes=MAX_HEADER_BYTES,
             header_timeout_s=HEADER_TIMEOUT_S,
-            on_malformed=on_malformed,
+            on_malformed=part.on_malformed,
         )
 
     def make_budget(self) -> RepeatBudget:
--- a/tests/gateway/test_narrow_link.py
+++ b/tests/gateway/test_narrow_link.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 
 from typing import TYPE_CHECKING
 from typing import Final
@@ -25,6 +26,7 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
     from pathlib import Path
 
     from sassafraswharf.routing.plan_document import PlanChange
@@ -163,34 +165,43 @@
     """
 
     async def main() -> None:
-        clock = BootClock()
-        leader = Leader(tmp_path)
-        leader.accept(first_plan())
-        await leader.server.start(LEADER, PORT)
-        link = NarrowLink(bytes_per_s)
-        proxy = await link.start()
-        router = make_router(clock)
-        router.start()
-        try:
-            await wait_for_version(router, 1)
+        async with followed(tmp_path, bytes_per_s) as (leader, router):
             leader.accept(grown_plan(added_routes))
-            changed_at = clock.now()
+            changed_at = router.clock.now()
             while router.view.plan.version != 2:
-                assert clock.now() - changed_at < IN_FORCE_S, router.outcomes
-                assert router.lease_until - clock.now() > LEASE_LEFT_S
+                now = router.clock.now()
+                assert now - changed_at < IN_FORCE_S, router.outcomes
+                assert router.lease_until - now > LEASE_LEFT_S
                 await asyncio.sleep(0.02)
             assert router.view.routes is not None
             assert len(router.view.routes.names) == added_routes + 1
-        finally:
-            await router.stop()
-            proxy.close()
-            for task in link.tasks:
-                task.cancel()
-            await leader.server.stop()
 
     asyncio.run(main())
 
 
+@contextlib.asynccontextmanager
+async def followed(
+    folder: Path, bytes_per_s: float
+) -> AsyncIterator[tuple[Leader, ControlLink]]:
+    """Run a leader, and a router that has its first plan over a narrow link."""
+    leader = Leader(folder)
+    leader.accept(first_plan())
+    await leader.server.start(LEADER, PORT)
+    link = NarrowLink(bytes_per_s)
+    proxy = await link.start()
+    router = make_router(BootClock())
+    router.start()
+    try:
+        await wait_for_version(router, 1)
+        yield leader, router
+    finally:
+        await router.stop()
+        proxy.close()
+        for task in link.tasks:
+            task.cancel()
+        await leader.server.stop()
+
+
 def make_router(clock: BootClock) -> ControlLink:
     log = DecisionLog("h", -1)
     view = FleetView(DocumentReader(), log)
