Say nothing of an upstream before the whole table has come

Fault, found in the read-through: a router that has just started takes its first answer for the whole table, and announces its upstream from then on. Since the table may come in parts, or not at all while much is under way, that first answer may lack it, and an upstream that drains would be announced as ready.

Change: answers name the newest version of the table; a router has it when one was received, or when there is none yet. Evidence: two cases of test_a_router_without_the_whole_table_says_nothing_of_its_upstream failed before.

--- a/src/sassafraswharf/fleet/control_node.py
+++ b/src/sassafraswharf/fleet/control_node.py
@@ -346,6 +346,7 @@
             self.feed.fleet_part(report, now),
             self.coordinator.suspects_for(report, now),
             state.plan.version,
+            state.fleet.version,
         )
 
     async def plan_fleet(self) -> None:
--- a/src/sassafraswharf/fleet/sync.py
+++ b/src/sassafraswharf/fleet/sync.py
@@ -118,8 +118,8 @@
 
     ``lease_s`` counts from the moment at which the request was sent; 0 means
     that there is no lease, because the sender is not the leader. ``suspects`` is
-    ``None`` if the router knows them. ``plan_version`` is the newest version of the
-    configuration. ``plan`` and ``fleet`` are parts of the
+    ``None`` if the router knows them. ``plan_version`` and
+    ``fleet_version`` are the newest versions. ``plan`` and ``fleet`` are parts of the
     changes that the router lacks, ``None`` if it lacks none. Their size is bounded,
     so that an answer arrives in time and renews the lease however much has changed.
     """
@@ -131,6 +131,7 @@
     fleet: TransferPart | None = None
     suspects: tuple[Suspect, ...] | None = None
     plan_version: int = 0
+    fleet_version: int = 0
 
 
 REQUEST_DECODER = msgspec.msgpack.Decoder(SyncRequest)
--- a/src/sassafraswharf/gateway/control_link.py
+++ b/src/sassafraswharf/gateway/control_link.py
@@ -51,7 +51,7 @@
 MIN_PERIOD_S: Final = 0.05
 
 
-class ReportCost:
+class ReportProgress:
     """How far one report came, for the decision log and the metrics."""
 
     __slots__ = ("began", "content", "phase")
@@ -162,7 +162,7 @@
         """Send one report; return the connection to keep and whether it worked."""
         address = self.leader
         sent_at = self.clock.now()
-        cost = ReportCost(sent_at)
+        progress = ReportProgress(sent_at)
         try:
             if connection is not None and (
                 not connection.is_reusable or connection.peer != address
@@ -175,14 +175,14 @@
                 )
             sent_at = self.clock.now()
             async with asyncio.timeout(hold_s + ANSWER_TIMEOUT_S):
-                reply = await self.ask(connection, hold_s, cost)
+                reply = await self.ask(connection, hold_s, progress)
         except (OSError, TimeoutError, ExchangeError, ClientPayloadError) as error:
-            self.on_silence(address, error, cost)
+            self.on_silence(address, error, progress)
         except msgspec.DecodeError as error:
-            self.on_silence(address, error, cost)
+            self.on_silence(address, error, progress)
         else:
             self.outcomes["answered"] += 1
-            self.received_bytes += cost.received_bytes
+            self.received_bytes += progress.received_bytes
             self.lengthen_parts(reply, self.clock.now() - sent_at)
             return connection, self.take(address, reply, sent_at)
         if connection is not None:
@@ -195,10 +195,10 @@
             self.part_bytes = min(self.part_bytes * 2, PART_BYTES)
 
     async def ask(
-        self, connection: HttpConnection, hold_s: float, cost: ReportCost
+        self, connection: HttpConnection, hold_s: float, progress: ReportProgress
     ) -> SyncReply:
         """Run one exchange."""
-        cost.phase = "head"
+        progress.phase = "head"
         self.sequence += 1
         body = msgspec.msgpack.encode(self.make_report(hold_s, self.sequence))
         head = (
@@ -207,8 +207,8 @@
         )
         connection.begin(head.encode(), body)
         response = await connection.receive()
-        cost.phase = "body"
-        cost.content = response.content
+        progress.phase = "body"
+        progress.content = response.content
         content, rest = await read_body(response.content)
         if rest is not None:
             raise ExchangeError("the answer is too long", sent=True)
@@ -230,7 +230,8 @@
         self.take_changes(reply, sent_at)
         if reply.suspects is not None:
             self.take_suspects(reply.suspects)
-        self.has_table = True
+        # A table that comes in parts is not there with the first answer.
+        self.has_table = self.view.fleet.version > 0 or reply.fleet_version == 0
         # After a suspension the clock has gone on, so an old reply gives nothing.
         self.lease_until = max(self.lease_until, sent_at + reply.lease_s)
         return True
@@ -280,25 +281,27 @@
             return known[0]
         return known[(known.index(address) + 1) % len(known)]
 
-    def on_silence(self, address: str, error: BaseException, cost: ReportCost) -> None:
+    def on_silence(
+        self, address: str, error: BaseException, progress: ReportProgress
+    ) -> None:
         """Ask another control host after one that has not answered.
 
         Every failed report has a line with how much of the answer had arrived: an
         answer that is too long for its time differs from a silent host by that.
         """
         why = str(error) or type(error).__name__
-        self.outcomes[cost.phase] += 1
-        if cost.phase == "body":
+        self.outcomes[progress.phase] += 1
+        if progress.phase == "body":
             # Shorter answers renew the lease where the link is too slow for these.
             self.part_bytes = max(self.part_bytes // 2, MIN_PART_BYTES)
-        self.received_bytes += cost.received_bytes
+        self.received_bytes += progress.received_bytes
         self.log.record(
             "report_failed",
             leader=address,
-            phase=cost.phase,
+            phase=progress.phase,
             why=why,
-            after_ms=int((self.clock.now() - cost.began) * 1000),
-            received_bytes=cost.received_bytes,
+            after_ms=int((self.clock.now() - progress.began) * 1000),
+            received_bytes=progress.received_bytes,
             plan=self.view.plan.version,
             fleet=self.view.fleet.version,
         )
--- a/tests/gateway/test_control_link.py
+++ b/tests/gateway/test_control_link.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 
 from collections.abc import Awaitable
 from collections.abc import Callable
@@ -12,9 +13,14 @@
 
 from aiohttp import web
 
+from sassafraswharf.fleet.fleet_state import VersionedFleet
+from sassafraswharf.fleet.part_sender import PartSender
 from sassafraswharf.fleet.sync import REQUEST_DECODER
 from sassafraswharf.fleet.sync import SyncReply
 from sassafraswharf.fleet.sync import SyncRequest
+from sassafraswharf.fleet.values import FleetChange
+from sassafraswharf.fleet.values import Instance
+from sassafraswharf.fleet.values import Upstream
 from sassafraswharf.gateway.control_link import ANSWER_TIMEOUT_S
 from sassafraswharf.gateway.control_link import ControlLink
 from sassafraswharf.gateway.fleet_view import FleetView
@@ -27,6 +33,7 @@
 LEADER = "127.21.0.3"
 OTHER = "127.21.0.4"
 DARK = "127.21.0.5"
+FIELDS = ("s", "h", "ip", "a", 4, False)
 
 
 class StoppedClock:
@@ -138,3 +145,39 @@
         await server.stop()
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ("newest", "parts", "has_table"),
+    [
+        pytest.param(0, 0, True, id="nothing was ever announced"),
+        pytest.param(9, 0, False, id="too much is under way to all routers"),
+        pytest.param(9, 1, False, id="the first part"),
+        pytest.param(9, 4, True, id="the whole table"),
+    ],
+)
+def test_a_router_without_the_whole_table_says_nothing_of_its_upstream(
+    newest: int, parts: int, has_table: bool
+) -> None:
+    """Guards against a restarted router that announces a draining upstream as ready.
+
+    It knows what drains only from the table, which may come in parts.
+    """
+
+    async def main() -> None:
+        upstreams = tuple(
+            Upstream(Instance(random.Random(n).randbytes(40).hex(), 1), *FIELDS)
+            for n in range(1_500)
+        )
+        table = [VersionedFleet(newest, FleetChange(upstreams, is_whole=True))]
+        sender = PartSender(lambda _: msgspec.msgpack.encode(table))
+        link = make_link((LEADER,), StoppedClock(), 17_720)
+        for _ in range(max(1, parts)):
+            cursor = link.fleet_receiver.cursor
+            fleet = sender.part_for(0, newest, cursor) if parts else None
+            reply = SyncReply(LEADER, (LEADER,), 4.5, fleet=fleet, fleet_version=newest)
+            link.take(LEADER, reply, 100.0)
+        assert link.has_table is has_table
+        assert link.has_lease(100.0)
+
+    asyncio.run(main())
