Close idle connections of a stopping server at once

Cause: HttpServer.finish closes idle connections through aiohttp's close(). In aiohttp 3.14 that cancels the future on which the task of the connection waits, the cancellation leaves start() before its last lines, and the transport stays open. Its protocol is marked as closing, so whatever arrives is read and dropped, until the routers' part of the stop is over and stop() closes it. A request sent in that time, 3.0 s after the SIGTERM, was cut without an answer.

Ruled out: the accept queue (closed with its socket, so nothing is read there), requests read but not yet counted, late hops.

The connection is now closed with its idle state. Test before the fix: six of six cases time out, the idle connection has no end a second after finish or stop_accepting; after it they pass.

Other servers of the process (control, reports) use the same class and get the same end.

--- a/src/sassafraswharf/router/http_server.py
+++ b/src/sassafraswharf/router/http_server.py
@@ -136,6 +136,18 @@
         if self.unread_bytes > self.max_header_bytes():
             self.refuse_head()
 
+    def close(self) -> None:
+        """Close the connection, as soon as no request of it is being answered.
+
+        For an idle connection aiohttp only ends the task that answers. The
+        connection would stay open, and its next request would be read and dropped.
+        """
+        waiter = self._waiter
+        is_idle = waiter is not None and not waiter.done()
+        super().close()
+        if is_idle or not self._request_count:
+            self.force_close()
+
     def progress(self) -> tuple[int, int]:
         """Return the number of requests and the length of the last one's body."""
         received = 0 if self.content is None else self.content.total_bytes
--- a/tests/router/test_http_server.py
+++ b/tests/router/test_http_server.py
@@ -242,3 +242,39 @@
     head = head_of(10, 100, 100)
     received, _ = asyncio.run(exchange([head], len(head) - extra))
     assert received.split()[1] == str(status).encode()
+
+
+async def close_while_a_connection_is_idle(requests: int, finishes: bool) -> bytes:
+    """Return what a caller reads once its idle connection is no longer served."""
+    server = HttpServer(
+        answer, max_body_bytes=1024, max_header_bytes=8192, header_timeout_s=5.0
+    )
+    port = await server.start("127.0.0.1", 0)
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    for _ in range(requests):
+        writer.write(REQUEST)
+        await reader.readuntil(b"whole")
+    if finishes:
+        await server.finish(5)
+    else:
+        await server.stop_accepting()
+    try:
+        async with asyncio.timeout(1):
+            return await reader.read()
+    finally:
+        writer.close()
+        await server.stop()
+
+
+@pytest.mark.parametrize("finishes", [True, False])
+@pytest.mark.parametrize("requests", [0, 1, 2])
+def test_an_idle_connection_ends_when_its_requests_are_no_longer_read(
+    requests: int, finishes: bool
+) -> None:
+    """Guards against a stop that reads requests and drops them (LOST).
+
+    aiohttp ends the task of an idle connection and leaves the connection open, so
+    a request that came before the end of the process was read and never answered.
+    Seen on strapworks-cairo, planned_stops.toml --vary --seed 1016992160838.
+    """
+    assert asyncio.run(close_while_a_connection_is_idle(requests, finishes)) == b""
