Find out that an upstream has ended when its grant fails

Cause: a router sends requests for a key only once the upstream has taken the grant of its epoch. An upstream that ends before that refuses the grant, the failed grant was only repeated, and no request ever reached the dead process, so nobody reported it: the leader went on to renew the lease of its host, and its keys stayed.

Ruled out: a leader without quorum (c3 leads and renews both leases), a session that was closed (none is opened anew), a lost report of the death (there is no first one).

A grant whose connection is refused or lost now has the process examined, as a request does. Test before the fix: the ended upstream isn't reported; after it: reported, and one that answers 503 or 200 isn't.

--- a/src/sassafraswharf/router/local_upstreams.py
+++ b/src/sassafraswharf/router/local_upstreams.py
@@ -20,9 +20,11 @@
 from sassafraswharf.leases.holder import NO_SESSION
 from sassafraswharf.membership.values import UpstreamState
 from sassafraswharf.ownership.slot_table import ranges_of
+from sassafraswharf.requests.outcome import Exchange
 from sassafraswharf.router.freeze_watch import MAX_THAWS
 from sassafraswharf.router.freeze_watch import FreezeWatch
 from sassafraswharf.router.permit import NO_SLOT
+from sassafraswharf.router.upstream_runner import MAYBE_CRASHED
 from sassafraswharf.router.upstream_runner import UpstreamRunner
 from sassafraswharf.router.upstream_states import grant_runs
 from sassafraswharf.router.upstream_states import is_announced
@@ -57,6 +59,8 @@
 with 10 slots would run 2 of their requests at a time. Deeper calls are run if a
 slot is free and refused otherwise, so they don't deadlock either.
 """
+MAYBE_ENDED: Final = frozenset({Exchange.CONNECTION_REFUSED, *MAYBE_CRASHED})
+"""Ends of an exchange after which the process of an upstream may be gone."""
 DRAINABLE_STATES: Final = frozenset({UpstreamState.ANNOUNCED, UpstreamState.ADMITTED})
 SERVED_STATES: Final = frozenset({UpstreamState.ADMITTED, UpstreamState.DRAINING})
 
@@ -310,6 +314,10 @@
             65_536,
         )
         if answer.status != 200:
+            if answer.exchange in MAYBE_ENDED and not runner.lost:
+                # No request is sent before the grant has arrived, so none would
+                # find out that the process has ended.
+                self.service.crashes.probe(runner)
             await asyncio.sleep(GRANT_RETRY_S)
             return
         self.granted_at[upstream.upstream] = (version, self.clock.now())
