--- a/src/sassafraswharf/fleet/coordinator.py
+++ b/src/sassafraswharf/fleet/coordinator.py
@@ -11,6 +11,7 @@
 from sassafraswharf.fleet.key_placement import Candidate
 from sassafraswharf.fleet.key_placement import KeyPlacement
 from sassafraswharf.fleet.key_weights import KeyWeights
+from sassafraswharf.fleet.sync import HeldRow
 from sassafraswharf.fleet.values import NOBODY
 from sassafraswharf.fleet.values import FleetChange
 from sassafraswharf.fleet.values import Instance
@@ -45,6 +46,15 @@
 MAX_SPEED = 3.0
 
 
+def holds_nothing(report: UpstreamReport) -> bool:
+    """Return whether a silent upstream has certainly lost all keys.
+
+    A router that has just started doesn't know what an earlier process granted.
+    """
+    is_silent = report.silent_s > FORGET_SILENT_S
+    return is_silent and not report.held and report.is_complete
+
+
 class LeaseTiming(NamedTuple):
     """Durations of leases in seconds.
 
@@ -169,7 +179,7 @@
             request, report = session.request, session.request.upstream
             if report is None or report.instance in self.ended:
                 continue
-            if report.silent_s > FORGET_SILENT_S and not report.held:
+            if holds_nothing(report):
                 continue
             known = table.upstreams.get(report.instance)
             found[report.instance] = Upstream(
@@ -203,7 +213,7 @@
             # The router has restarted and has not heard of this life. Its last
             # hold ends within the lease that the earlier process had.
             return now - session.first_heard_at > self.timing.takeover_s
-        return report.silent_s > FORGET_SILENT_S and not report.held
+        return holds_nothing(report)
 
     def _rows_without(
         self, table: FleetTable, removed: set[Instance]
@@ -274,9 +284,10 @@
         }
 
     def _settle(self, row: KeyRow, table: FleetTable) -> KeyRow:
-        """Complete a move whose owner has released the keys."""
-        if not row.is_moving:
-            return row
+        """Complete a move whose owner has released the keys.
+
+        A row that its owner refuses for its fence gets a new fence.
+        """
         upstream = table.upstreams.get(row.owner)
         session = self.sessions.get(upstream.host) if upstream else None
         if session is None:
@@ -284,6 +295,9 @@
         report = session.request.upstream
         if report is None or report.instance != row.owner:
             return row
+        if not row.is_moving:
+            held = HeldRow(row.first, row.last, row.fence)
+            return row._replace(fence=0) if held in report.refused else row
         token = self._release_token(row, report, session.request.fleet_version)
         if token is None:
             return row
--- a/src/sassafraswharf/fleet/sync.py
+++ b/src/sassafraswharf/fleet/sync.py
@@ -47,7 +47,8 @@
     still hold; a router that has just started can't know it. ``silent_s`` is the
     time since its last heartbeat. ``busy_slots`` is the mean number of requests
     at work, ``service_s`` the mean time that one takes. ``restarting`` says that
-    the router is being stopped, while the upstream goes on.
+    the router is being stopped, while the upstream goes on. ``refused`` are keys that
+    the upstream can't be granted, since it has seen a newer fence for some of them.
     """
 
     instance: Instance
@@ -63,6 +64,7 @@
     requests: float = 0.0
     key_loads: tuple[KeyLoad, ...] = ()
     restarting: bool = False
+    refused: tuple[HeldRow, ...] = ()
 
 
 class CrashReport(NamedTuple):
--- /dev/null
+++ b/src/sassafraswharf/gateway/call_delivery.py
@@ -0,0 +1,327 @@
+"""Grants holds and takes them back by calls to the upstream."""
+
+from __future__ import annotations
+
+import asyncio
+
+from collections import Counter
+from typing import TYPE_CHECKING
+from typing import Final
+
+from sassafraswharf.fleet.sync import HeldRow
+from sassafraswharf.gateway.heartbeat import GrantedRow
+from sassafraswharf.gateway.hold_caller import UNANSWERED
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sassafraswharf.clock import Clock
+    from sassafraswharf.fleet.values import Instance
+    from sassafraswharf.gateway.fleet_view import FleetView
+    from sassafraswharf.gateway.heartbeat import Grant
+    from sassafraswharf.gateway.heartbeat import Heartbeat
+    from sassafraswharf.gateway.hold_caller import HoldCaller
+    from sassafraswharf.gateway.hold_caller import HoldReply
+    from sassafraswharf.gateway.key_holds import Offer
+    from sassafraswharf.gateway.local_upstream import LocalUpstream
+    from sassafraswharf.observability.decision_log import DecisionLog
+
+
+CHECK_S: Final = 0.1
+GRANT_TIMEOUT_S: Final = 0.4
+RENEW_SHARE: Final = 0.7
+"""A hold is renewed when less than this share of it is left, so that two renewals
+may be lost."""
+MIN_EXTENSION_S: Final = 0.3
+"""A renewal that prolongs a hold by less is not worth its call."""
+RETRY_PAUSE_S: Final = 0.1
+RELEASE_REPEAT_S: Final = 0.8
+"""A release waits for running work, so it is repeated beside the first call."""
+MAX_GRANT_CALLS: Final = 8
+"""Calls that grant keys at a time."""
+RENEWAL_SAMPLE: Final = 64
+STATUS_OK: Final = 200
+STATUS_NEWER_FENCE: Final = 409
+
+
+class CallDelivery:
+    """Follows the table and calls the upstream for each row that changes.
+
+    Rows that the table gives to the upstream are granted and renewed; keys that it
+    is to give up are released, and the answer brings the token for the next owner.
+    One call at a time is under way for each row to grant. A call without an answer
+    may be carried out later, so its keys count as held until that has ended.
+    """
+
+    def __init__(
+        self,
+        local: LocalUpstream,
+        caller: HoldCaller,
+        view: FleetView,
+        lease_until: Callable[[], float],
+        report_now: Callable[[], None],
+        clock: Clock,
+        log: DecisionLog,
+    ) -> None:
+        """Call for ``local``; ``report_now`` tells the leader what has changed."""
+        self.local = local
+        self.holds = local.holds
+        self.caller = caller
+        self.view = view
+        self.lease_until = lease_until
+        self.report_now = report_now
+        self.clock = clock
+        self.log = log
+        self.instance: Instance | None = None
+        self.kept_version = -1
+        self.grants: dict[GrantedRow, asyncio.Task[None]] = {}
+        self.releases: dict[HeldRow, asyncio.Task[None]] = {}
+        self.refused: set[HeldRow] = set()
+        self.slots = asyncio.Semaphore(MAX_GRANT_CALLS)
+        self.outcomes: Counter[str] = Counter()
+        self.task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Start to follow the table."""
+        self.task = asyncio.create_task(self.run())
+
+    async def stop(self) -> None:
+        """Stop calling; holds end by themselves."""
+        tasks = [*self.grants.values(), *self.releases.values()]
+        if self.task is not None:
+            tasks.append(self.task)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self.caller.close()
+
+    async def answer(self, _beat: Heartbeat, _arrived_at: float) -> Grant | None:
+        """Grant nothing in the answer to a heartbeat."""
+        self.reconcile()
+        return None
+
+    def refused_rows(self) -> tuple[HeldRow, ...]:
+        """Return the rows of the table that the upstream refuses."""
+        return tuple(self.refused)
+
+    async def run(self) -> None:
+        """Bring the upstream in line with the table until cancelled."""
+        while True:
+            self.reconcile()
+            await self.view.changed.wait(CHECK_S)
+
+    def reconcile(self) -> None:
+        """Start the calls that are due."""
+        self.follow_life()
+        instance = self.instance
+        if instance is None:
+            return
+        wanted = self.wanted(instance)
+        if self.kept_version != self.view.fleet.version:
+            self.kept_version = self.view.fleet.version
+            self.holds.keep_only(wanted)
+            self.refused &= {held_row(row) for row in wanted}
+        now = self.clock.now()
+        for row in wanted:
+            if self.is_due(row, now):
+                self.grants[row] = asyncio.create_task(self.grant(instance, row))
+        for surplus in self.surplus(instance, wanted):
+            if surplus not in self.releases:
+                task = asyncio.create_task(self.release(instance, surplus))
+                self.releases[surplus] = task
+
+    def follow_life(self) -> None:
+        """Forget what an earlier life of the upstream was granted."""
+        beat = self.local.beat
+        present = beat.instance if beat is not None else None
+        if present == self.instance:
+            return
+        if self.instance is not None:
+            for task in [*self.grants.values(), *self.releases.values()]:
+                task.cancel()
+            self.grants, self.releases = {}, {}
+            self.holds.on_end()
+            self.refused.clear()
+        self.instance = present
+        self.kept_version = -1
+
+    def wanted(self, instance: Instance) -> list[GrantedRow]:
+        """Return the rows that the upstream is to hold now.
+
+        Calls of an earlier process of the router that had no answer may still be
+        carried out. Until they have ended, the keys of a move stay where they are.
+        """
+        may_release = self.holds.is_complete(self.clock.now())
+        return [
+            GrantedRow(row.first, row.last, row.fence, row.handover)
+            for row in self.view.fleet.rows_of(instance)
+            if not (row.is_moving and may_release)
+        ]
+
+    def is_due(self, row: GrantedRow, now: float) -> bool:
+        """Return whether a row is to be granted or renewed."""
+        if row in self.grants or held_row(row) in self.refused:
+            return False
+        until = self.holds.current.get(row, now)
+        if until - now > RENEW_SHARE * self.holds.hold_s:
+            return False
+        longest = min(now + self.holds.hold_s, self.lease_until() - GRANT_TIMEOUT_S)
+        return longest - until > MIN_EXTENSION_S
+
+    def surplus(self, instance: Instance, wanted: list[GrantedRow]) -> list[HeldRow]:
+        """Return the keys that the upstream is to give up."""
+        moving = [
+            HeldRow(row.first, row.last, row.fence)
+            for row in self.view.fleet.rows_of(instance)
+            if row.is_moving
+        ]
+        held = [
+            rest
+            for row in self.holds.granted
+            for rest in without(row, [*wanted, *moving])
+        ]
+        if not self.holds.is_complete(self.clock.now()):
+            return held
+        return [*held, *(row for row in moving if not self.holds.has_released(row))]
+
+    async def grant(self, instance: Instance, row: GrantedRow) -> None:
+        """Grant or renew a row once."""
+        offers: list[Offer] = []
+
+        def offer() -> tuple[GrantedRow, float] | None:
+            # The table may have changed while a connection was opened.
+            if self.instance != instance or row not in self.wanted(instance):
+                return None
+            now = self.clock.now()
+            left_s = until - now
+            made = self.holds.offer(row, now, self.lease_until(), left_s)
+            if made is None:
+                return None
+            offers.append(made)
+            return made.row, made.hold_s
+
+        try:
+            async with self.slots:
+                until = self.clock.now() + GRANT_TIMEOUT_S
+                async with asyncio.timeout(GRANT_TIMEOUT_S):
+                    reply = await self.caller.grant(instance.name, offer)
+            if reply is None or not self.take(offers[0], reply):
+                await asyncio.sleep(RETRY_PAUSE_S)
+        except UNANSWERED as error:
+            self.outcomes["unanswered"] += 1
+            self.log.record(
+                "grant_unanswered",
+                upstream=instance.name,
+                first=row.first,
+                last=row.last,
+                fence=row.fence,
+                sent=bool(offers),
+                why=str(error) or type(error).__name__,
+            )
+            await asyncio.sleep(RETRY_PAUSE_S)
+        finally:
+            if self.grants.get(row) is asyncio.current_task():
+                del self.grants[row]
+
+    def take(self, offer: Offer, reply: HoldReply) -> bool:
+        """Take the answer to a grant; return whether the keys are held."""
+        row = offer.row
+        if reply.status == STATUS_OK:
+            is_renewal = row in self.holds.current
+            kind = "renewed" if is_renewal else "granted"
+            self.outcomes[kind] += 1
+            self.holds.on_accepted(offer, self.clock.now())
+            if not is_renewal or self.outcomes[kind] % RENEWAL_SAMPLE == 1:
+                self.log.record(
+                    kind,
+                    first=row.first,
+                    last=row.last,
+                    fence=row.fence,
+                    warm=bool(row.handover),
+                    hold_ms=int(offer.hold_s * 1000),
+                )
+            return True
+        self.holds.on_refused(offer)
+        self.outcomes["refused"] += 1
+        if reply.status == STATUS_NEWER_FENCE:
+            self.refused.add(held_row(row))
+            self.report_now()
+        self.log.record(
+            "grant_refused",
+            first=row.first,
+            last=row.last,
+            fence=row.fence,
+            status=reply.status,
+        )
+        return False
+
+    async def release(self, instance: Instance, row: HeldRow) -> None:
+        """Take keys back; repeated until one call is answered."""
+        began = self.clock.now()
+        calls: set[asyncio.Task[HoldReply]] = set()
+        try:
+            while True:
+                calls.add(asyncio.create_task(self.caller.release(instance.name, row)))
+                done, calls = await asyncio.wait(
+                    calls,
+                    timeout=RELEASE_REPEAT_S,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                reply = first_answer(done)
+                if reply is not None:
+                    break
+                if done:
+                    await asyncio.sleep(RETRY_PAUSE_S)
+            self.holds.on_released(row, reply.handover, self.clock.now())
+            self.outcomes["released"] += 1
+            self.log.record(
+                "released",
+                upstream=instance.name,
+                first=row.first,
+                last=row.last,
+                fence=row.fence,
+                warm=bool(reply.handover),
+                after_ms=int((self.clock.now() - began) * 1000),
+            )
+            self.report_now()
+        finally:
+            for call in calls:
+                call.cancel()
+            if self.releases.get(row) is asyncio.current_task():
+                del self.releases[row]
+
+
+def first_answer(calls: set[asyncio.Task[HoldReply]]) -> HoldReply | None:
+    """Return the answer of a release that was carried out, if there is one."""
+    for call in calls:
+        error = call.exception()
+        if error is not None and not isinstance(error, UNANSWERED):
+            raise error
+        if error is None and call.result().status == STATUS_OK:
+            return call.result()
+    return None
+
+
+def held_row(row: GrantedRow) -> HeldRow:
+    """Return the keys and the fence of a row."""
+    return HeldRow(row.first, row.last, row.fence)
+
+
+def without(row: HeldRow, taken: list[HeldRow | GrantedRow]) -> list[HeldRow]:
+    """Return the parts of a row whose keys are in no other row.
+
+    >>> without(HeldRow(0, 99, 5), [HeldRow(10, 19, 7)])
+    [HeldRow(first=0, last=9, fence=5), HeldRow(first=20, last=99, fence=5)]
+    """
+    parts = []
+    first = row.first
+    for other in sorted(taken, key=lambda one: one.first):
+        if other.last < first or other.first > row.last:
+            continue
+        if other.first > first:
+            parts.append(row._replace(first=first, last=other.first - 1))
+        first = max(first, other.last + 1)
+    if first <= row.last:
+        parts.append(row._replace(first=first))
+    return parts
--- a/src/sassafraswharf/gateway/control_link.py
+++ b/src/sassafraswharf/gateway/control_link.py
@@ -137,6 +137,10 @@
         """Return whether the lease is in force."""
         return now < self.lease_until
 
+    def lease_end(self) -> float:
+        """Return when the lease ends, on the local clock; it may have ended."""
+        return self.lease_until
+
     def report_now(self) -> None:
         """Report without waiting for the next turn."""
         self.urgent.set()
--- /dev/null
+++ b/src/sassafraswharf/gateway/heartbeat_delivery.py
@@ -0,0 +1,91 @@
+"""Grants holds in the answers to heartbeats."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Final
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sassafraswharf.clock import Clock
+    from sassafraswharf.fleet.sync import HeldRow
+    from sassafraswharf.fleet.values import KeyRow
+    from sassafraswharf.gateway.fleet_view import FleetView
+    from sassafraswharf.gateway.heartbeat import Grant
+    from sassafraswharf.gateway.heartbeat import Heartbeat
+    from sassafraswharf.gateway.local_upstream import LocalUpstream
+
+
+ANSWER_S: Final = 0.7
+"""An upstream takes an answer to a heartbeat for a second."""
+
+
+class HeartbeatDelivery:
+    """Answers each heartbeat with everything that the upstream is to hold.
+
+    The upstream reports releases with its heartbeats. While keys are on their way
+    to it, the answer waits for them, as long as it still counts, since the upstream
+    would otherwise get them only with its next heartbeat.
+    """
+
+    def __init__(
+        self,
+        local: LocalUpstream,
+        view: FleetView,
+        lease_until: Callable[[], float],
+        takes_keys: Callable[[], bool],
+        clock: Clock,
+    ) -> None:
+        """Answer for ``local``; without ``takes_keys`` no keys are waited for."""
+        self.local = local
+        self.holds = local.holds
+        self.view = view
+        self.lease_until = lease_until
+        self.takes_keys = takes_keys
+        self.clock = clock
+
+    def start(self) -> None:
+        """Do nothing: heartbeats come by themselves."""
+
+    async def stop(self) -> None:
+        """Do nothing: heartbeats are no longer answered."""
+
+    def refused_rows(self) -> tuple[HeldRow, ...]:
+        """Return nothing: an upstream does not answer to an answer."""
+        return ()
+
+    async def answer(self, beat: Heartbeat, arrived_at: float) -> Grant | None:
+        """Return what the upstream is to hold, ``None`` if it is told nothing."""
+        fleet = self.view.fleet
+        until = arrived_at + ANSWER_S
+        while self.is_expecting_keys(beat) and self.clock.now() < until:
+            await self.view.changed.wait(until - self.clock.now())
+        if beat.instance not in fleet.upstreams or beat.service not in fleet.rows:
+            return None
+        newest = self.local.beat
+        if newest is None or newest.sequence != beat.sequence:
+            return None
+        rows = fleet.rows_of(beat.instance)
+        return self.holds.grant(rows, arrived_at, self.lease_until())
+
+    def is_expecting_keys(self, beat: Heartbeat) -> bool:
+        """Return whether keys are moving to the upstream and none away from it."""
+        rows = self.view.fleet.rows.get(beat.service, ())
+        if beat.draining or not self.takes_keys() or not rows:
+            return False
+        if not any(row.owner == beat.instance for row in rows):
+            return True
+        if any(row.is_moving and row.owner == beat.instance for row in rows):
+            return False
+        if any(row.owner == beat.instance and not self.knows(row) for row in rows):
+            return False
+        return any(row.target == beat.instance for row in rows)
+
+    def knows(self, row: KeyRow) -> bool:
+        """Return whether a row is part of the last grant."""
+        return any(
+            one.first <= row.first and row.last <= one.last and one.fence == row.fence
+            for one in self.holds.current
+        )
--- a/src/sassafraswharf/gateway/key_holds.py
+++ b/src/sassafraswharf/gateway/key_holds.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 from typing import Final
+from typing import NamedTuple
 
 from sassafraswharf.fleet.sync import HeldRow
 from sassafraswharf.fleet.sync import ReleasedRow
@@ -26,12 +27,37 @@
 RELEASE_MEMORY_S: Final = 10.0
 
 
+class Offer(NamedTuple):
+    """One call that grants keys for ``hold_s`` from its arrival.
+
+    It arrives by ``arrives_by`` or never. It may be carried out later than that,
+    without an answer, and still ends by ``until``.
+    """
+
+    number: int
+    row: GrantedRow
+    hold_s: float
+    sent_at: float
+    arrives_by: float
+
+    @property
+    def until(self) -> float:
+        """Return when the hold has ended wherever the call was on its way."""
+        return self.arrives_by + self.hold_s / CLOCK_MARGIN
+
+    @property
+    def held_row(self) -> HeldRow:
+        """Return the keys as they are reported."""
+        return HeldRow(self.row.first, self.row.last, self.row.fence)
+
+
 class KeyHolds:
     """Grants holds to one upstream and knows what it may still hold.
 
-    A hold counts from the moment at which the upstream sent its heartbeat, which
-    is earlier than its arrival, and it is granted for no longer than the lease of
-    the router lasts. So no hold outlives the lease, whatever is late, lost or
+    Holds are granted in the answer to a heartbeat (``grant``) or by a call
+    (``offer``). One counts from the moment at which the heartbeat was sent, or at
+    which the call arrives, and it is granted for no longer than the lease of the
+    router lasts. So no hold outlives the lease, whatever is late, lost or
     frozen on the way. ``now`` is always the time of the boot-time clock, which
     goes on while the host is suspended.
     """
@@ -44,8 +70,9 @@
         self.complete_at = started_at + lease_s / CLOCK_MARGIN
         self.hold_s = hold_s
         self.granted: dict[HeldRow, float] = {}
-        self.current: tuple[GrantedRow, ...] = ()
-        self.current_until = 0.0
+        self.offers: dict[int, Offer] = {}
+        self.offer_count = 0
+        self.current: dict[GrantedRow, float] = {}
         self.changed = ChangeSignal()
         self.reported: tuple[HeldRow, ...] = ()
         self.reported_until = 0.0
@@ -80,17 +107,86 @@
             if not row.is_moving
         )
         until = arrived_at + hold_s / CLOCK_MARGIN
-        self.current = granted
-        self.current_until = arrived_at + hold_s
+        self.current = dict.fromkeys(granted, arrived_at + hold_s)
         self.changed.notify()
         for row in granted:
             self.granted[HeldRow(row.first, row.last, row.fence)] = until
             self._forget_release(row.first, row.last)
         return Grant(granted, hold_s)
 
+    def offer(
+        self, row: GrantedRow, now: float, lease_until: float, timeout_s: float
+    ) -> Offer | None:
+        """Note a call that grants a row; ``None`` without a lease that outlasts it.
+
+        The call is given up ``timeout_s`` after ``now``, when it is sent. From now
+        on the upstream may hold the keys, until the outcome of the call is known.
+        """
+        arrives_by = now + timeout_s
+        hold_s = min(self.hold_s, lease_until - arrives_by) * CLOCK_MARGIN
+        if hold_s < MIN_HOLD_S:
+            return None
+        self.offer_count += 1
+        offer = Offer(self.offer_count, row, hold_s, now, arrives_by)
+        self.offers[offer.number] = offer
+        return offer
+
+    def on_accepted(self, offer: Offer, now: float) -> None:
+        """Take the upstream's word that it holds what a call has granted."""
+        if self.offers.pop(offer.number, None) is None:
+            return
+        row = offer.row
+        overlapping = [
+            until
+            for held, until in self.granted.items()
+            if held.first <= row.last and held.last >= row.first
+        ]
+        self._withdraw(row.first, row.last)
+        until = now + offer.hold_s / CLOCK_MARGIN
+        # A shorter hold than the last one may not have shortened that.
+        self.granted[offer.held_row] = max(until, *overlapping, 0.0)
+        self._forget_release(row.first, row.last)
+        self._forget_old(now)
+        self.current[row] = offer.sent_at + offer.hold_s
+        self.changed.notify()
+
+    def on_refused(self, offer: Offer) -> None:
+        """Take the upstream's word that it doesn't hold what a call has granted."""
+        self.offers.pop(offer.number, None)
+
+    def on_released(self, row: HeldRow, handover: str, now: float) -> None:
+        """Take the upstream's word that it has given up keys.
+
+        Calls without an answer may be carried out after the release, so what they
+        have granted still counts as held.
+        """
+        self.released[ReleasedRow(row.first, row.last, handover)] = now
+        self._withdraw(row.first, row.last)
+        self._forget_old(now)
+
+    def keep_only(self, wanted: Iterable[GrantedRow]) -> None:
+        """Send no more requests for keys that the upstream is to give up."""
+        kept: dict[GrantedRow, float] = {}
+        rows = tuple(wanted)
+        for held, until in self.current.items():
+            for row in rows:
+                first, last = max(held.first, row.first), min(held.last, row.last)
+                if first <= last:
+                    kept[held._replace(first=first, last=last)] = until
+        self.current = kept
+
+    def on_end(self) -> None:
+        """Forget all holds: the process of the upstream has ended."""
+        self.granted.clear()
+        self.offers.clear()
+        self.current.clear()
+        self.released.clear()
+        self.reported_until = 0.0
+
     def held(self, now: float) -> tuple[HeldRow, ...]:
         """Return everything that the upstream holds or may still hold."""
         rows = {row for row, until in self.granted.items() if until > now}
+        rows.update(one.held_row for one in self.offers.values() if one.until > now)
         if self.reported_until > now:
             rows.update(self.reported)
         return tuple(rows)
@@ -101,9 +197,10 @@
         Keys that the last grant has left out are being released, so no request
         for them may be sent, although the upstream may hold them a little longer.
         """
-        if now >= self.current_until:
-            return False
-        return any(row.first <= key <= row.last for row in self.current)
+        return any(
+            row.first <= key <= row.last and now < until
+            for row, until in self.current.items()
+        )
 
     def is_complete(self, now: float) -> bool:
         """Return whether holds of an earlier process must have ended."""
@@ -113,6 +210,12 @@
         """Return the releases that the leader may not know yet."""
         return tuple(self.released)
 
+    def has_released(self, row: HeldRow) -> bool:
+        """Return whether the upstream has given up all keys of a row."""
+        return any(
+            one.first <= row.first and row.last <= one.last for one in self.released
+        )
+
     def _withdraw(self, first: int, last: int) -> None:
         """Remove keys from what was granted."""
         for row, until in list(self.granted.items()):
@@ -131,6 +234,9 @@
 
     def _forget_old(self, now: float) -> None:
         self.granted = {row: one for row, one in self.granted.items() if one > now}
+        self.offers = {
+            number: one for number, one in self.offers.items() if one.until > now
+        }
         limit = now - RELEASE_MEMORY_S
         self.released = {row: at for row, at in self.released.items() if at > limit}
 
--- a/src/sassafraswharf/gateway/router_node.py
+++ b/src/sassafraswharf/gateway/router_node.py
@@ -12,10 +12,13 @@
 from sassafraswharf.fleet.coordinator import LeaseTiming
 from sassafraswharf.fleet.sync import SyncRequest
 from sassafraswharf.fleet.sync import UpstreamReport
+from sassafraswharf.gateway.call_delivery import CallDelivery
 from sassafraswharf.gateway.control_link import ControlLink
 from sassafraswharf.gateway.crash_evidence import REFUSED_CRASHES
 from sassafraswharf.gateway.crash_evidence import CrashEvidence
 from sassafraswharf.gateway.fleet_view import FleetView
+from sassafraswharf.gateway.heartbeat_delivery import HeartbeatDelivery
+from sassafraswharf.gateway.hold_caller import HoldCaller
 from sassafraswharf.gateway.hop_client import HopClient
 from sassafraswharf.gateway.hop_server import HopServer
 from sassafraswharf.gateway.ingress import Ingress
@@ -32,9 +35,10 @@
     from sassafraswharf.clock import Clock
     from sassafraswharf.fleet.sync import Suspect
     from sassafraswharf.fleet.values import Instance
-    from sassafraswharf.fleet.values import KeyRow
     from sassafraswharf.gateway.heartbeat import Grant
     from sassafraswharf.gateway.heartbeat import Heartbeat
+    from sassafraswharf.gateway.hold_caller import HoldCallFormat
+    from sassafraswharf.gateway.hold_delivery import HoldDelivery
     from sassafraswharf.gateway.work import HeaderNames
     from sassafraswharf.observability.decision_log import DecisionLog
     from sassafraswharf.routing.plan_document import PlanReader
@@ -50,8 +54,8 @@
 HEARTBEATS_PER_HOLD: Final = 2.6
 """A hold outlasts two heartbeats, one of which may be lost."""
 MIN_HOLD_S: Final = 2.2
-HEARTBEAT_ANSWER_S: Final = 0.7
-"""An upstream takes an answer to a heartbeat for a second."""
+CALLED_HOLD_S: Final = 3.5
+"""A hold that is granted by a call outlasts the restart of its router."""
 LINGER_S: Final = 2.6
 """Callers learn within two readiness checks, one a second, that a process stops."""
 FINISH_MARGIN_S: Final = 0.6
@@ -68,8 +72,13 @@
         upstream_address: tuple[str, int] | None,
         clock: Clock,
         log: DecisionLog,
+        hold_calls: HoldCallFormat | None = None,
     ) -> None:
-        """Prepare the parts; nothing is opened before ``start``."""
+        """Prepare the parts; nothing is opened before ``start``.
+
+        With ``hold_calls`` the upstream is granted keys by calls, otherwise in the
+        answers to its heartbeats.
+        """
         self.node = node
         self.names = names
         self.clock = clock
@@ -77,11 +86,12 @@
         self.boot = time.time_ns()
         self.rng = random.Random(self.boot)
         timing = LeaseTiming()
-        hold_s = min(
-            node.terms.hold_limit_s,
-            timing.lease_s,
-            max(MIN_HOLD_S, HEARTBEATS_PER_HOLD * node.terms.heartbeat_s),
+        wanted_s = (
+            CALLED_HOLD_S
+            if hold_calls
+            else max(MIN_HOLD_S, HEARTBEATS_PER_HOLD * node.terms.heartbeat_s)
         )
+        hold_s = min(node.terms.hold_limit_s, timing.lease_s, wanted_s)
         self.holds = KeyHolds(clock.now(), timing.lease_s, hold_s)
         self.view = FleetView(reader, log)
         self.choice = FleetChoice(node.zone, self.rng)
@@ -122,11 +132,35 @@
             self.on_suspects,
         )
         self.crashes.on_crash = self.on_crash
+        self.delivery = self.create_delivery(hold_calls)
         self.callers = self.create_server(self.ingress)
         self.routers = self.create_server(self.hop_server)
         self.stopping = False
         self.tasks: list[asyncio.Task[None]] = []
 
+    def create_delivery(self, hold_calls: HoldCallFormat | None) -> HoldDelivery | None:
+        """Return the way in which the upstream beside is told what it holds."""
+        local = self.local
+        if local is None:
+            return None
+        if hold_calls is None:
+            return HeartbeatDelivery(
+                local, self.view, self.link.lease_end, self.takes_keys, self.clock
+            )
+        return CallDelivery(
+            local,
+            HoldCaller(local.pool.address, hold_calls, self.clock),
+            self.view,
+            self.link.lease_end,
+            self.link.report_now,
+            self.clock,
+            self.log,
+        )
+
+    def takes_keys(self) -> bool:
+        """Return whether keys may be given to the upstream beside."""
+        return not self.stopping
+
     def create_server(self, part: Ingress | HopServer) -> HttpServer:
         """Return a server with the limits of this process."""
         return HttpServer(
@@ -155,6 +189,8 @@
         await self.routers.start(self.node.address, self.node.first_peer_port)
         await self.callers.start(*caller_address)
         self.link.start()
+        if self.delivery is not None:
+            self.delivery.start()
         self.tasks = [asyncio.create_task(self.follow_fleet())]
 
     async def stop(self) -> None:
@@ -177,6 +213,8 @@
         await asyncio.gather(self.callers.finish(left_s), self.routers.finish(left_s))
         for task in self.tasks:
             task.cancel()
+        if self.delivery is not None:
+            await self.delivery.stop()
         await self.link.stop()
         await self.callers.stop()
         await self.routers.stop()
@@ -252,13 +290,15 @@
         """Take a heartbeat; return what the upstream is to hold, if it is told.
 
         A late heartbeat of an earlier life or order changes nothing and is told
-        nothing. While keys are on their way to the upstream the answer waits for
-        them, as long as it still counts, since the upstream would otherwise get
-        them only with its next heartbeat.
+        nothing.
         """
         now = self.clock.now()
         local = self.local
-        if local is None or not self.is_of_this_host(beat, local):
+        if (
+            local is None
+            or self.delivery is None
+            or not self.is_of_this_host(beat, local)
+        ):
             self.log.record("heartbeat_of_a_stranger", upstream=beat.instance.name)
             return None
         if not is_newer(beat, local.beat):
@@ -279,17 +319,7 @@
                 released=len(beat.released),
             )
             self.link.report_now()
-        fleet = self.view.fleet
-        until = now + HEARTBEAT_ANSWER_S
-        while self.is_expecting_keys(beat) and self.clock.now() < until:
-            await self.view.changed.wait(until - self.clock.now())
-        if beat.instance not in fleet.upstreams or beat.service not in fleet.rows:
-            return None
-        if local.beat is None or local.beat.sequence != beat.sequence:
-            return None
-        return self.holds.grant(
-            fleet.rows_of(beat.instance), now, self.link.lease_until
-        )
+        return await self.delivery.answer(beat, now)
 
     def is_of_this_host(self, beat: Heartbeat, local: LocalUpstream) -> bool:
         """Return whether a heartbeat can be one of the upstream of this host."""
@@ -301,26 +331,6 @@
             routes is not None and beat.service in routes.services
         )
 
-    def is_expecting_keys(self, beat: Heartbeat) -> bool:
-        """Return whether keys are moving to the upstream and none away from it."""
-        rows = self.view.fleet.rows.get(beat.service, ())
-        if beat.draining or self.stopping or not rows:
-            return False
-        if not any(row.owner == beat.instance for row in rows):
-            return True
-        if any(row.is_moving and row.owner == beat.instance for row in rows):
-            return False
-        if any(row.owner == beat.instance and not self.knows(row) for row in rows):
-            return False
-        return any(row.target == beat.instance for row in rows)
-
-    def knows(self, row: KeyRow) -> bool:
-        """Return whether a row is part of the last grant."""
-        return any(
-            one.first <= row.first and row.last <= one.last and one.fence == row.fence
-            for one in self.holds.current
-        )
-
     def on_crash(self, instance: Instance, lost: int) -> None:
         """Report the end of a life at once, so that its keys get an owner."""
         self.log.record("upstream_ended", upstream=instance.name, lost=lost)
@@ -385,4 +395,5 @@
             load.requests,
             load.keys,
             self.stopping,
+            self.delivery.refused_rows() if self.delivery else (),
         )
--- /dev/null
+++ b/src/sassafraswharf/platform/hold_calls.py
@@ -0,0 +1,61 @@
+"""Calls that grant keys to an endpoint and take them back."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from sassafraswharf.platform import names
+from sassafraswharf.settings.durations import format_duration
+
+
+if TYPE_CHECKING:
+    from sassafraswharf.fleet.sync import HeldRow
+    from sassafraswharf.gateway.heartbeat import GrantedRow
+    from sassafraswharf.gateway.http_connection import ResponseHead
+
+
+class HoldCalls:
+    """Writes the provider's calls; both bounds of a range of keys belong to it.
+
+    Their names come from other calls: ``fromRev`` is the first key and
+    ``targetVersion`` the last one.
+    """
+
+    def grant(self, row: GrantedRow, hold_s: float, host: str, name: str) -> bytes:
+        """Return the call that grants keys for a time that begins on arrival."""
+        body: dict[str, object] = {
+            "fromRev": row.first,
+            "targetVersion": row.last,
+            "fence": row.fence,
+            "hold_time": format_duration(hold_s),
+        }
+        if row.handover:
+            body["handover"] = row.handover
+        return self.request(names.GRANT_PATH, host, name, body)
+
+    def release(self, row: HeldRow, host: str, name: str) -> bytes:
+        """Return the call that takes keys back."""
+        body: dict[str, object] = {
+            "fromRev": row.first,
+            "targetVersion": row.last,
+            "fence": row.fence,
+        }
+        return self.request(names.RELEASE_PATH, host, name, body)
+
+    def handover(self, response: ResponseHead) -> str:
+        """Return the token of an answered release."""
+        return response.headers.get(names.HANDOVER_HEADER, "")
+
+    def request(
+        self, path: str, host: str, name: str, body: dict[str, object]
+    ) -> bytes:
+        """Return a request for the endpoint ``name`` and no other one."""
+        content = msgspec.json.encode(body)
+        head = (
+            f"POST {path} HTTP/1.1\r\nHost: {host}\r\n"
+            f"{names.HEADER_NAMES.instance}: {name}\r\n"
+            f"Content-Type: application/json\r\nContent-Length: {len(content)}\r\n\r\n"
+        )
+        return head.encode() + content
--- a/src/sassafraswharf/platform/main.py
+++ b/src/sassafraswharf/platform/main.py
@@ -103,12 +103,19 @@
     from sassafraswharf.gateway import router_metrics
     from sassafraswharf.gateway.router_node import RouterNode
     from sassafraswharf.platform.endpoint_api import EndpointApi
+    from sassafraswharf.platform.hold_calls import HoldCalls
 
     upstream = None
     if node.upstream is not None:
         upstream = parse_address(node.upstream["address"]).unwrap()
     router = RouterNode(
-        node, names.HEADER_NAMES, DocumentReader(), upstream, BootClock(), log
+        node,
+        names.HEADER_NAMES,
+        DocumentReader(),
+        upstream,
+        BootClock(),
+        log,
+        HoldCalls() if node.grants_by_call else None,
     )
     api = EndpointApi(router, log)
     control = create_server(api.handle_control)
--- a/src/sassafraswharf/settings/node_loader.py
+++ b/src/sassafraswharf/settings/node_loader.py
@@ -81,6 +81,7 @@
             settings.get("metrics_port", 0),
             settings["tolerated_hosts"],
             terms,
+            settings.get("grants") == "call",
         )
     )
 
--- a/src/sassafraswharf/settings/node_schema.py
+++ b/src/sassafraswharf/settings/node_schema.py
@@ -8,6 +8,7 @@
 
 from typing import Annotated
 from typing import Final
+from typing import Literal
 from typing import NamedTuple
 from typing import NotRequired
 from typing import TypedDict
@@ -55,6 +56,8 @@
     ``upstream`` is present beside an upstream, ``data_folder`` on hosts with a
     disk. ``first_start`` is true when the whole fleet starts for the first time.
     ``control_seeds`` are addresses, ``ip:port``, of some control hosts.
+    ``grants`` says how the upstream is told which keys it holds: in the answers to
+    its heartbeats, as without this field, or by calls.
     """
 
     host: Text
@@ -70,6 +73,7 @@
     metrics_port: NotRequired[PortNumber]
     tolerated_hosts: Annotated[int, msgspec.Meta(ge=0, le=1_000)]
     terms: TermsSettings
+    grants: NotRequired[Literal["heartbeat", "call"] | None]
 
 
 class Terms(NamedTuple):
@@ -99,7 +103,10 @@
 
 
 class Node(NamedTuple):
-    """Checked settings; ``seeds`` are ``(ip, port)`` of control hosts."""
+    """Checked settings; ``seeds`` are ``(ip, port)`` of control hosts.
+
+    ``grants_by_call`` says that an upstream is granted keys by calls to it.
+    """
 
     host: str
     zone: str
@@ -115,6 +122,7 @@
     metrics_port: int
     tolerated_hosts: int
     terms: Terms
+    grants_by_call: bool = False
 
 
 TERM_FIELDS: Final = {
--- /dev/null
+++ b/src/sassafraswharf_bench/provider/called_holds.py
@@ -0,0 +1,74 @@
+"""The keys of an endpoint that is granted them by calls."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class CalledHold(NamedTuple):
+    """Keys that the endpoint holds until an instant of its steady clock."""
+
+    first: int
+    last: int
+    fence: int
+    until: float
+
+
+class CalledHolds:
+    """Keeps the rules of the provider's pages for grants and releases by call.
+
+    A grant counts from its arrival, also when it is carried out later, and is
+    refused if one of its keys was seen with a higher fence. A release is never
+    refused.
+    """
+
+    def __init__(self) -> None:
+        """Start as an endpoint does: it holds nothing and has seen no fence."""
+        self.holds: list[CalledHold] = []
+        self.seen: list[CalledHold] = []
+        self.grants = 0
+        self.releases = 0
+
+    def grant(
+        self, first: int, last: int, fence: int, arrived_at: float, hold_s: float
+    ) -> bool:
+        """Take a grant; return False if a higher fence was seen."""
+        if any(one.fence > fence for one in self.seen if overlaps(one, first, last)):
+            return False
+        granted = CalledHold(first, last, fence, arrived_at + hold_s)
+        self.holds = [*cut(self.holds, first, last), granted]
+        self.seen = [*cut(self.seen, first, last), granted]
+        self.grants += 1
+        return True
+
+    def release(self, first: int, last: int) -> None:
+        """Give up keys at once, as far as they are held."""
+        self.holds = cut(self.holds, first, last)
+        self.releases += 1
+
+    def held(self, now: float) -> list[CalledHold]:
+        """Return the holds that have not run out."""
+        return [one for one in self.holds if one.until > now]
+
+    def holds_key(self, key: int, now: float) -> bool:
+        """Return whether requests for a key are run."""
+        return any(one.first <= key <= one.last for one in self.held(now))
+
+
+def overlaps(hold: CalledHold, first: int, last: int) -> bool:
+    """Return whether a hold has keys from ``first`` to ``last``."""
+    return hold.first <= last and hold.last >= first
+
+
+def cut(holds: list[CalledHold], first: int, last: int) -> list[CalledHold]:
+    """Return the holds without the keys from ``first`` to ``last``."""
+    rest = []
+    for one in holds:
+        if not overlaps(one, first, last):
+            rest.append(one)
+            continue
+        if one.first < first:
+            rest.append(one._replace(last=first - 1))
+        if one.last > last:
+            rest.append(one._replace(first=last + 1))
+    return rest
--- a/src/sassafraswharf_bench/provider/endpoint.py
+++ b/src/sassafraswharf_bench/provider/endpoint.py
@@ -17,6 +17,7 @@
 from aiohttp import web
 
 from sassafraswharf.settings.durations import parse_duration
+from sassafraswharf_bench.provider.called_holds import CalledHolds
 
 
 if TYPE_CHECKING:
@@ -27,6 +28,7 @@
 """A request with this in its query ends the endpoint that begins to run it."""
 NOT_RUN = {"Not-Executed": "1"}
 ANSWER_TIMEOUT_S = 1.0
+ORDER_PATH = "/sassafraswharf/"
 RELEASE_PAUSE_S = 0.1
 
 
@@ -63,8 +65,16 @@
         slots: int = 10,
         work_s: float = 0.02,
         heartbeat_s: float = 0.3,
+        called: bool = False,
     ) -> None:
-        """Prepare a new life; ``start`` begins it."""
+        """Prepare a new life; ``start`` begins it.
+
+        With ``called`` it is granted keys by calls. ``late_orders`` are the delays
+        in seconds with which the next calls are carried out, without an answer.
+        """
+        self.called_holds = CalledHolds() if called else None
+        self.late_orders: list[float] = []
+        self.orders: set[asyncio.Task[web.Response]] = set()
         self.service = service
         self.address = address
         self.control = control
@@ -80,6 +90,7 @@
         self.releasing: list[Hold] = []
         self.released: list[tuple[int, int, str]] = []
         self.running: list[int] = []
+        self.ended = asyncio.Condition()
         self.runs: list[Run] = []
         self.grants: list[tuple[float, tuple[Hold, ...]]] = []
         self.crashed = asyncio.Event()
@@ -154,9 +165,9 @@
             "coldRemaining": "0ms",
             "sequence": self.sequence,
             "born": self.born,
-            "holds": sorted(held),
-            "released": reported,
         }
+        if self.called_holds is None:
+            body |= {"holds": sorted(held), "released": reported}
         url = self.url("Endpoints.Heartbeat")
         assert self.session is not None
         async with self.session.post(url, data=msgspec.json.encode(body)) as response:
@@ -198,15 +209,62 @@
         host, port = self.control
         return f"http://{host}:{port}/sassafraswharf/{call}/{self.instance}"
 
+    async def order(self, request: web.BaseRequest, holds: CalledHolds) -> web.Response:
+        """Carry out a call of the router beside, possibly late and unanswered."""
+        arrived_at = time.monotonic()
+        body = msgspec.json.decode(await request.read())
+        carry_out = self.grant if request.path.endswith("/grant") else self.release
+        if not self.late_orders:
+            return await carry_out(holds, body, arrived_at)
+        delay_s = self.late_orders.pop(0)
+
+        async def carry_out_late() -> web.Response:
+            await asyncio.sleep(delay_s)
+            return await carry_out(holds, body, arrived_at)
+
+        late = asyncio.create_task(carry_out_late())
+        self.orders.add(late)
+        late.add_done_callback(self.orders.discard)
+        await asyncio.Event().wait()
+        raise AssertionError
+
+    async def grant(
+        self, holds: CalledHolds, body: dict[str, Any], arrived_at: float
+    ) -> web.Response:
+        """Hold the granted keys."""
+        hold_s = parse_duration(body["hold_time"]).unwrap()
+        taken = holds.grant(
+            body["fromRev"], body["targetVersion"], body["fence"], arrived_at, hold_s
+        )
+        return web.Response(status=200 if taken else 409)
+
+    async def release(
+        self, holds: CalledHolds, body: dict[str, Any], _arrived_at: float
+    ) -> web.Response:
+        """Give up keys; answer when the work on them has ended."""
+        first, last = body["fromRev"], body["targetVersion"]
+        holds.release(first, last)
+        async with self.ended:
+            await self.ended.wait_for(
+                lambda: not any(first <= key <= last for key in self.running)
+            )
+        return web.Response(headers={"Handover": secrets.token_hex(8)})
+
+    def holds_key(self, key: int) -> bool:
+        """Return whether requests for a key are run."""
+        now = time.monotonic()
+        if self.called_holds is not None:
+            return self.called_holds.holds_key(key, now)
+        return any(one.first <= key <= one.last for one in self.held(now))
+
     async def handle(self, request: web.BaseRequest) -> web.Response:
         """Run a request, or say that it was not run."""
         headers = request.headers
+        if self.called_holds is not None and request.path.startswith(ORDER_PATH):
+            return await self.order(request, self.called_holds)
         expected = headers.get("Expect-Instance", self.instance)
         key = int(headers.get("Shard-Key", "0"))
-        holds_key = any(
-            one.first <= key <= one.last for one in self.held(time.monotonic())
-        )
-        if expected != self.instance or (self.keyed and not holds_key):
+        if expected != self.instance or (self.keyed and not self.holds_key(key)):
             return web.Response(status=421, headers=NOT_RUN)
         if len(self.running) >= self.slots:
             return web.Response(status=503, headers=NOT_RUN)
@@ -229,5 +287,7 @@
             await asyncio.sleep(self.work_s)
         finally:
             self.running.remove(key)
+            async with self.ended:
+                self.ended.notify_all()
         signature = {"Response-Signature": self.instance, "Request-Id": request_id}
         return web.Response(headers=signature, body=b"served " + body)
--- a/src/sassafraswharf_bench/provider/machines.py
+++ b/src/sassafraswharf_bench/provider/machines.py
@@ -39,9 +39,19 @@
     """
 
     def __init__(
-        self, folder: Path, services: list[str], *, controls: int = 3, net: int = 1
+        self,
+        folder: Path,
+        services: list[str],
+        *,
+        controls: int = 3,
+        net: int = 1,
+        grants: str = "heartbeat",
     ) -> None:
-        """Prepare control hosts and one router for each entry of ``services``."""
+        """Prepare control hosts and one router for each entry of ``services``.
+
+        ``grants`` says how endpoints are granted keys: ``heartbeat`` or ``call``.
+        """
+        self.grants = grants
         self.folder = folder
         self.tolerated = (controls - 1) // 2
         prefix = f"127.{net}.0"
@@ -104,6 +114,7 @@
             "peerPorts": PEER_PORTS,
             "listen": listen,
             "heartbeat": "300ms",
+            "grants": self.grants,
             "faultTolerance": {"machines": self.tolerated},
             "bounds": {
                 "drain": "2000ms",
--- /dev/null
+++ b/tests/gateway/test_call_delivery.py
@@ -0,0 +1,328 @@
+"""Grants and releases by call, with a caller that answers by a script."""
+
+from __future__ import annotations
+
+import asyncio
+
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import NamedTuple
+
+import pytest
+
+from sassafraswharf.fleet.fleet_state import VersionedFleet
+from sassafraswharf.fleet.sync import HeldRow
+from sassafraswharf.fleet.sync import ReleasedRow
+from sassafraswharf.fleet.values import FleetChange
+from sassafraswharf.fleet.values import Instance
+from sassafraswharf.fleet.values import KeyRow
+from sassafraswharf.fleet.values import ServiceRows
+from sassafraswharf.fleet.values import Upstream
+from sassafraswharf.gateway import call_delivery
+from sassafraswharf.gateway.call_delivery import CallDelivery
+from sassafraswharf.gateway.fleet_view import FleetView
+from sassafraswharf.gateway.hold_caller import HoldReply
+from sassafraswharf.gateway.key_holds import KeyHolds
+from sassafraswharf.observability.decision_log import DecisionLog
+from sassafraswharf.platform.documents import DocumentReader
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sassafraswharf.gateway.heartbeat import GrantedRow
+
+
+SELF = Instance("i-1", 7)
+NEXT_LIFE = Instance("i-1", 9)
+OTHER = Instance("i-2", 8)
+ROW = KeyRow(0, 99, SELF, 5)
+REST = KeyRow(100, 65_535, OTHER, 5)
+MOVING = ROW._replace(target=OTHER, asked=6)
+STEP_S = 0.1
+
+
+class Clock:
+    """A clock that tests advance."""
+
+    def __init__(self) -> None:
+        self.time = 100.0
+
+    def now(self) -> float:
+        return self.time
+
+
+class Beat(NamedTuple):
+    instance: Instance
+
+
+class Local:
+    """The upstream as far as the delivery knows it."""
+
+    def __init__(self, holds: KeyHolds) -> None:
+        self.holds = holds
+        self.beat: Beat | None = Beat(SELF)
+
+
+Reply = HoldReply | Exception | None
+
+
+class ScriptedCaller:
+    """Answers each call with the next reply of its kind; ``None``: never."""
+
+    def __init__(self, grants: list[Reply], releases: list[Reply]) -> None:
+        self.scripts = {"grant": grants, "release": releases}
+        self.calls: list[tuple[str, int, int, int]] = []
+
+    async def grant(
+        self, _name: str, offer: Callable[[], tuple[GrantedRow, float] | None]
+    ) -> HoldReply | None:
+        offered = offer()
+        if offered is None:
+            return None
+        return await self.reply("grant", offered[0][:3])
+
+    async def release(self, _name: str, row: HeldRow) -> HoldReply:
+        return await self.reply("release", row)
+
+    async def reply(self, kind: str, row: Any) -> HoldReply:
+        self.calls.append((kind, *row))
+        script = self.scripts[kind]
+        reply = script.pop(0) if script else HoldReply(200, "")
+        if reply is None:
+            await asyncio.Event().wait()
+        if isinstance(reply, Exception):
+            raise reply
+        assert isinstance(reply, HoldReply)
+        return reply
+
+    def close(self) -> None:
+        """Close nothing."""
+
+
+class Site:
+    """A delivery with the table of its router."""
+
+    def __init__(
+        self, grants: list[Reply] | None = None, releases: list[Reply] | None = None
+    ) -> None:
+        log = DecisionLog("side-1", -1)
+        self.clock = Clock()
+        self.holds = KeyHolds(0.0, 4.5, 3.5)
+        self.local = Local(self.holds)
+        self.view = FleetView(DocumentReader(), log)
+        self.caller = ScriptedCaller(grants or [], releases or [])
+        self.reports = 0
+        self.lease_s = 4.5
+        self.delivery = CallDelivery(
+            self.local,  # type: ignore[arg-type]
+            self.caller,  # type: ignore[arg-type]
+            self.view,
+            lambda: self.clock.now() + self.lease_s,
+            self.report,
+            self.clock,
+            log,
+        )
+
+    def report(self) -> None:
+        self.reports += 1
+
+    def table(self, version: int, *rows: KeyRow, instance: Instance = SELF) -> None:
+        """Give the router a newer table."""
+        here = Upstream(instance, "diary", "side-1", "10.0.0.1", "a", 10, False)
+        change = FleetChange((here,), (), (ServiceRows("diary", (*rows, REST)),))
+        self.view.take_fleet([VersionedFleet(version, change)])
+
+    async def step(self, seconds: float = STEP_S) -> None:
+        """Let the delivery look at the table, and the calls go on."""
+        self.clock.time += seconds
+        self.delivery.reconcile()
+        for _ in range(20):
+            await asyncio.sleep(0)
+
+
+def play(scenario: Callable[[Site], Any], **scripts: list[Reply]) -> Site:
+    """Run a scenario without pauses after failed calls."""
+
+    async def main() -> Site:
+        site = Site(**scripts)
+        try:
+            await scenario(site)
+        finally:
+            await site.delivery.stop()
+        return site
+
+    return asyncio.run(main())
+
+
+@pytest.fixture(autouse=True)
+def _no_pauses(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(call_delivery, "RETRY_PAUSE_S", 0.0)
+    monkeypatch.setattr(call_delivery, "RELEASE_REPEAT_S", 0.01)
+    monkeypatch.setattr(call_delivery, "GRANT_TIMEOUT_S", 0.02)
+
+
+def test_a_row_is_granted_at_once_and_renewed_before_it_ends() -> None:
+    """Guards against keys that wait for a heartbeat, or run out while in use."""
+
+    async def scenario(site: Site) -> None:
+        site.table(5, ROW)
+        await site.step()
+        assert site.holds.holds_key(50, site.clock.now())
+        for _ in range(100):
+            await site.step()
+            assert site.holds.holds_key(50, site.clock.now())
+
+    site = play(scenario)
+    assert 4 <= len(site.caller.calls) <= 12
+    assert set(site.caller.calls) == {("grant", 0, 99, 5)}
+
+
+def test_nothing_is_granted_without_a_lease() -> None:
+    """Guards against grants of a router that was frozen past its lease."""
+
+    async def scenario(site: Site) -> None:
+        site.lease_s = 0.05
+        site.table(5, ROW)
+        await site.step()
+
+    assert not play(scenario).caller.calls
+
+
+def test_a_moved_row_is_released_with_the_token_for_its_next_owner() -> None:
+    """Guards against cold keys and against a move that waits for the hold's end."""
+
+    async def scenario(site: Site) -> None:
+        site.table(5, ROW)
+        await site.step()
+        site.table(6, MOVING)
+        await site.step()
+        assert not site.holds.holds_key(50, site.clock.now())
+        await site.step()
+        assert site.holds.held(site.clock.now()) == ()
+        assert site.holds.released_rows() == (ReleasedRow(0, 99, "token"),)
+
+    site = play(scenario, releases=[HoldReply(200, "token")])
+    assert site.caller.calls == [("grant", 0, 99, 5), ("release", 0, 99, 5)]
+    assert site.reports == 1
+
+
+def test_a_part_of_a_row_is_released_and_the_rest_served_on() -> None:
+    """Guards against a gap for keys that stay when their neighbours move."""
+
+    async def scenario(site: Site) -> None:
+        site.table(5, ROW)
+        await site.step()
+        site.table(6, MOVING._replace(last=49), ROW._replace(first=50))
+        site.delivery.reconcile()
+        assert site.holds.holds_key(50, site.clock.now())
+        assert not site.holds.holds_key(49, site.clock.now())
+        for _ in range(20):
+            await site.step()
+            assert site.holds.holds_key(50, site.clock.now())
+
+    site = play(scenario)
+    assert site.caller.calls[:3] == [
+        ("grant", 0, 99, 5),
+        ("release", 0, 49, 5),
+        ("grant", 50, 99, 5),
+    ]
+
+
+@pytest.mark.parametrize("first", [None, OSError(), HoldReply(500, "")])
+def test_a_release_without_answer_is_repeated(first: Reply) -> None:
+    """Guards against keys that nobody gets since one call was lost."""
+
+    async def scenario(site: Site) -> None:
+        site.table(5, ROW)
+        await site.step()
+        site.table(6, MOVING)
+        await site.step()
+        await asyncio.sleep(0.05)
+        await site.step()
+        assert site.holds.released_rows() == (ReleasedRow(0, 99, "late"),)
+
+    play(scenario, releases=[first, HoldReply(200, "late")])
+
+
+def test_an_unanswered_grant_counts_as_held_after_the_release() -> None:
+    """Guards against a grant that is carried out after its keys were released."""
+
+    async def scenario(site: Site) -> None:
+        site.table(5, ROW)
+        await site.step()
+        await asyncio.sleep(0.05)
+        await site.step()
+        assert site.holds.holds_key(50, site.clock.now())
+        site.table(6, MOVING)
+        await site.step()
+        await site.step()
+        assert site.holds.released_rows()
+        assert site.holds.held(site.clock.now()) == (HeldRow(0, 99, 5),)
+        await site.step(4.5)
+        assert site.holds.held(site.clock.now()) == ()
+
+    play(scenario, grants=[None])
+
+
+def test_a_fence_that_was_refused_is_never_sent_again() -> None:
+    """Guards against orders that go on with a fence which a newer one has passed."""
+
+    async def scenario(site: Site) -> None:
+        site.table(5, ROW)
+        for _ in range(50):
+            await site.step()
+        assert site.delivery.refused_rows() == (HeldRow(0, 99, 5),)
+        site.table(9, ROW._replace(fence=9))
+        await site.step()
+        assert site.delivery.refused_rows() == ()
+        assert site.holds.holds_key(50, site.clock.now())
+
+    site = play(scenario, grants=[HoldReply(409, "")])
+    assert site.caller.calls == [("grant", 0, 99, 5), ("grant", 0, 99, 9)]
+    assert site.reports == 1
+
+
+def test_a_new_life_is_granted_its_rows_and_nothing_of_the_last_one() -> None:
+    """Guards against requests to an upstream that restarted under its name."""
+
+    async def scenario(site: Site) -> None:
+        site.table(5, ROW)
+        await site.step()
+        site.local.beat = Beat(NEXT_LIFE)
+        await site.step()
+        assert not site.holds.holds_key(50, site.clock.now())
+        assert site.holds.held(site.clock.now()) == ()
+        site.table(7, ROW._replace(owner=NEXT_LIFE, fence=7), instance=NEXT_LIFE)
+        await site.step()
+        assert site.holds.holds_key(50, site.clock.now())
+
+    assert play(scenario).caller.calls == [("grant", 0, 99, 5), ("grant", 0, 99, 7)]
+
+
+def test_keys_of_a_move_stay_while_calls_of_an_earlier_process_may_be_late() -> None:
+    """Guards against a router that vouches for calls which it doesn't know of."""
+
+    async def scenario(site: Site) -> None:
+        site.holds.complete_at = site.clock.now() + 1.0
+        site.table(6, MOVING)
+        await site.step()
+        assert site.holds.holds_key(50, site.clock.now())
+        assert not site.holds.released_rows()
+        await site.step(1.0)
+        await site.step()
+        assert site.holds.released_rows()
+
+    play(scenario)
+
+
+def test_a_row_that_left_while_a_connection_was_opened_is_not_granted() -> None:
+    """Guards against a grant that is sent after the keys have got another owner."""
+
+    async def scenario(site: Site) -> None:
+        site.table(5, ROW)
+        site.delivery.reconcile()
+        site.table(6, ROW._replace(owner=OTHER, fence=6))
+        await site.step()
+
+    assert not play(scenario).caller.calls
--- a/tests/gateway/test_key_holds.py
+++ b/tests/gateway/test_key_holds.py
@@ -8,6 +8,7 @@
 from sassafraswharf.fleet.sync import ReleasedRow
 from sassafraswharf.fleet.values import Instance
 from sassafraswharf.fleet.values import KeyRow
+from sassafraswharf.gateway.heartbeat import GrantedRow
 from sassafraswharf.gateway.heartbeat import Heartbeat
 from sassafraswharf.gateway.key_holds import KeyHolds
 from sassafraswharf.gateway.key_holds import is_newer
@@ -102,3 +103,113 @@
 ) -> None:
     """Guards against a heartbeat of an ended life that arrives late."""
     assert is_newer(newer, known) is expected
+
+
+GRANTED = GrantedRow(0, 99, 5, "")
+HELD = HeldRow(0, 99, 5)
+TIMEOUT_S = 0.4
+
+
+def called_holds() -> KeyHolds:
+    return KeyHolds(0.0, 4.5, 3.5)
+
+
+@pytest.mark.parametrize("lease_left_s", [0.4, 0.49, 0.6, 1.0, 4.5])
+def test_a_called_hold_ends_before_the_lease_however_late_the_call_arrives(
+    lease_left_s: float,
+) -> None:
+    """Guards against a second owner while a call was slow to arrive."""
+    offer = called_holds().offer(GRANTED, 10.0, 10.0 + lease_left_s, TIMEOUT_S)
+    if offer is not None:
+        arrived_at = 10.0 + TIMEOUT_S
+        assert arrived_at + offer.hold_s / SLOW_CLOCK <= 10.0 + lease_left_s
+
+
+@pytest.mark.parametrize(
+    ("outcome", "held_at_10_5", "held_at_13_5", "serves"),
+    [
+        ("accepted", (HELD,), (HELD,), True),
+        ("refused", (), (), False),
+        ("unanswered", (HELD,), (HELD,), False),
+    ],
+)
+def test_what_a_call_may_have_granted_counts_as_held(
+    outcome: str,
+    held_at_10_5: tuple[HeldRow, ...],
+    held_at_13_5: tuple[HeldRow, ...],
+    serves: bool,
+) -> None:
+    """Guards against a next owner while an unanswered grant may be carried out."""
+    holds = called_holds()
+    offer = holds.offer(GRANTED, 10.0, 14.5, TIMEOUT_S)
+    assert offer is not None
+    assert holds.held(10.1) == (HELD,)
+    if outcome == "accepted":
+        holds.on_accepted(offer, 10.1)
+    elif outcome == "refused":
+        holds.on_refused(offer)
+    assert holds.held(10.5) == held_at_10_5
+    assert holds.held(13.5) == held_at_13_5
+    assert holds.held(14.5) == ()
+    assert holds.holds_key(50, 10.5) is serves
+
+
+@pytest.mark.parametrize("unanswered", [False, True])
+def test_a_release_does_not_end_a_call_that_had_no_answer(unanswered: bool) -> None:
+    """Guards against a grant that is carried out after the release of its keys."""
+    holds = called_holds()
+    if unanswered:
+        assert holds.offer(GRANTED, 10.0, 14.5, TIMEOUT_S)
+    offer = holds.offer(GRANTED, 10.5, 15.0, TIMEOUT_S)
+    assert offer is not None
+    holds.on_accepted(offer, 10.6)
+    holds.on_released(HELD, "token", 11.0)
+    assert holds.released_rows() == (ReleasedRow(0, 99, "token"),)
+    assert holds.has_released(HeldRow(10, 20, 5))
+    assert holds.held(11.0) == ((HELD,) if unanswered else ())
+    assert holds.held(14.5) == ()
+
+
+def test_a_shorter_renewal_does_not_shorten_what_may_be_held() -> None:
+    """Guards against a hold that is taken for over since its renewal was shorter."""
+    holds = called_holds()
+    for at, lease_until in ((10.0, 14.5), (10.2, 11.5)):
+        offer = holds.offer(GRANTED, at, lease_until, TIMEOUT_S)
+        assert offer is not None
+        holds.on_accepted(offer, at)
+    assert holds.held(13.0) == (HELD,)
+
+
+@pytest.mark.parametrize(
+    ("wanted", "served", "unserved"),
+    [
+        ([], [], [0, 50, 99]),
+        ([GRANTED], [0, 99], []),
+        ([GrantedRow(50, 99, 5, "")], [50, 99], [0, 49]),
+        ([GrantedRow(0, 9, 5, ""), GrantedRow(90, 99, 5, "")], [5, 95], [10, 89]),
+    ],
+)
+def test_requests_for_keys_on_their_way_out_are_not_sent(
+    wanted: list[GrantedRow], served: list[int], unserved: list[int]
+) -> None:
+    """Guards against requests that meet the release of their key."""
+    holds = called_holds()
+    offer = holds.offer(GRANTED, 10.0, 14.5, TIMEOUT_S)
+    assert offer is not None
+    holds.on_accepted(offer, 10.0)
+    holds.keep_only(wanted)
+    assert all(holds.holds_key(key, 10.1) for key in served)
+    assert not any(holds.holds_key(key, 10.1) for key in unserved)
+    assert holds.held(10.1) == (HELD,)
+
+
+def test_a_new_life_of_the_upstream_holds_nothing() -> None:
+    """Guards against requests to a restarted upstream for keys of its last life."""
+    holds = called_holds()
+    for at in (10.0, 10.1):
+        offer = holds.offer(GRANTED, at, 14.5, TIMEOUT_S)
+    assert offer is not None
+    holds.on_accepted(offer, 10.2)
+    holds.on_end()
+    assert holds.held(10.3) == ()
+    assert not holds.holds_key(50, 10.3)
--- a/tests/provider/harness.py
+++ b/tests/provider/harness.py
@@ -68,8 +68,10 @@
 class Fleet:
     """Machines, endpoints and an operator."""
 
-    def __init__(self, folder: Path, services: list[str], net: int) -> None:
-        self.machines = Machines(folder, services, net=net)
+    def __init__(
+        self, folder: Path, services: list[str], net: int, grants: str = "heartbeat"
+    ) -> None:
+        self.machines = Machines(folder, services, net=net, grants=grants)
         self.operator = Operator(self.machines.controls)
         self.endpoints: dict[str, Endpoint] = {}
         self.ended: list[Endpoint] = []
@@ -89,6 +91,7 @@
             (machine.ip, ENDPOINT_PORT),
             (machine.ip, CONTROL_PORT),
             keyed=machine.service == DIARY,
+            called=self.machines.grants == "call",
         )
         await endpoint.start()
         self.endpoints[name] = endpoint
--- /dev/null
+++ b/tests/provider/test_called_grants.py
@@ -0,0 +1,108 @@
+"""The whole path on loopback with endpoints that are granted keys by calls."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import signal
+import time
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from tests.provider.harness import BOOKING
+from tests.provider.harness import DIARY
+from tests.provider.harness import HOST
+from tests.provider.harness import Fleet
+
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+    from pathlib import Path
+
+
+SERVICES = [DIARY, DIARY, DIARY, BOOKING]
+POLL_S = 0.005
+LATE_S = 2.0
+
+
+async def watch_holders(fleet: Fleet) -> None:
+    """Fail as soon as two endpoints hold the same keys."""
+    while True:
+        now = time.monotonic()
+        held = sorted(
+            (hold.first, hold.last, name)
+            for name, endpoint in fleet.endpoints.items()
+            if endpoint.called_holds is not None
+            for hold in endpoint.called_holds.held(now)
+        )
+        for before, after in itertools.pairwise(held):
+            assert before[1] < after[0], (before, after)
+        await asyncio.sleep(POLL_S)
+
+
+def play(folder: Path, net: int, scenario: Callable[[Fleet], Awaitable[None]]) -> None:
+    async def main() -> None:
+        fleet = Fleet(folder, SERVICES, net, grants="call")
+        watching = asyncio.create_task(watch_holders(fleet))
+        try:
+            await fleet.start()
+            await scenario(fleet)
+            if watching.done():
+                watching.result()
+        finally:
+            watching.cancel()
+            await fleet.stop()
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("late_orders", [0, 6])
+def test_keys_move_between_endpoints_that_come_and_go(
+    tmp_path: Path, late_orders: int
+) -> None:
+    """Guards against keys without a holder, or with two, while calls are late."""
+
+    async def scenario(fleet: Fleet) -> None:
+        for endpoint in fleet.endpoints.values():
+            endpoint.late_orders = [LATE_S] * late_orders
+        leaving = fleet.endpoints["side-1"]
+        leaving.state = "draining"
+
+        async def is_empty() -> bool:
+            assert leaving.called_holds is not None
+            return not leaving.called_holds.held(time.monotonic())
+
+        await fleet.until(is_empty, "the keys never left")
+        await fleet.until(fleet.is_served, "keys are not served again")
+        await fleet.end_endpoint("side-1")
+        await fleet.start_endpoint("side-1")
+        await asyncio.sleep(LATE_S)
+        await fleet.until(fleet.is_served, "keys are not served at the end")
+
+    play(tmp_path, 31 if late_orders else 32, scenario)
+
+
+@pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGTERM])
+def test_a_router_that_restarts_goes_on_with_the_keys_of_its_endpoint(
+    tmp_path: Path, number: signal.Signals
+) -> None:
+    """Guards against keys that are given up, or held twice, when a router restarts."""
+
+    async def scenario(fleet: Fleet) -> None:
+        fleet.machines.signal("side-0", number)
+        await asyncio.to_thread(fleet.machines.processes["side-0"].wait, 10)
+        fleet.machines.start("side-0")
+        caller = fleet.caller("side-1")
+        await asyncio.sleep(0.5)
+
+        async def is_served() -> bool:
+            keys = range(0, 65_536, 4_096)
+            replies = [await caller.send("GET", "/diary/x", HOST, key=k) for k in keys]
+            return all(reply.status == 200 for reply in replies)
+
+        await fleet.until(is_served, "keys are not served again")
+
+    play(tmp_path, 33 if number is signal.SIGKILL else 34, scenario)
