Count the time of requests sent ahead from their arrival

Cause: some callers of the sites with keys granted by call send further requests before the first one is answered. They are answered in order, one at a time, and each got its whole time again when its turn came: upstreams were told of time that their callers no longer had (BUDGET), and an answer after the goal looked early. One whose time had passed in line was counted as sent.

The server notes when each request was parsed and how long it has waited since; deadline and goal count from there. Without time left it is refused as not run. Nothing behind an answer that closes the connection is handled.

Ruled out: answering requests of one connection at the same time, which aiohttp's server doesn't do; it would need a second request reader.

--- a/src/sassafraswharf/gateway/ingress.py
+++ b/src/sassafraswharf/gateway/ingress.py
@@ -17,6 +17,7 @@
 from sassafraswharf.gateway.responses import refuse
 from sassafraswharf.gateway.tally import RequestTally
 from sassafraswharf.gateway.work import Rejection
+from sassafraswharf.router.http_server import waited_s
 
 
 if TYPE_CHECKING:
@@ -110,7 +111,8 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request of a caller."""
-        now = self.clock.now()
+        # A caller counts from when it sent the request, also behind another one.
+        now = self.clock.now() - waited_s(request)
         request_id = request.headers.get(self.names.request_id, "")
         target = self.reader.find_target(request, now)
         if isinstance(target, Rejection):
@@ -119,11 +121,7 @@
         if isinstance(work, Rejection):
             return self.turn_away(request, request_id, work, target.route.name)
         progress = Progress()
-        try:
-            async with asyncio.timeout(work.terms.deadline_at - now):
-                outcome = await self.serve(work, target.route, progress)
-        except TimeoutError:
-            outcome = Err(self.on_timeout(progress))
+        outcome = await self.serve_in_time(work, target.route, progress)
         code = 0 if isinstance(outcome, Ok) else int(outcome.err_value.code)
         self.tally.ended(
             target.route.name,
@@ -193,6 +191,20 @@
         echoed = {self.names.request_id: request_id} if request_id else {}
         return refuse(rejection, route, echoed, close=self.closing)
 
+    async def serve_in_time(
+        self, work: Work, route: Route, progress: Progress
+    ) -> Outcome:
+        """Serve a request until its deadline, which may have passed behind others."""
+        left_s = work.terms.deadline_at - self.clock.now()
+        if left_s <= 0:
+            message = "no time is left"
+            return Err(Rejection(ResultCode.DEADLINE_EXPIRED, message, True))
+        try:
+            async with asyncio.timeout(left_s):
+                return await self.serve(work, route, progress)
+        except TimeoutError:
+            return Err(self.on_timeout(progress))
+
     async def serve(self, work: Work, route: Route, progress: Progress) -> Outcome:
         """Send a request until there is an answer or no way to get one."""
         budget = self.budgets.get(work.service)
--- a/src/sassafraswharf/router/http_server.py
+++ b/src/sassafraswharf/router/http_server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from collections import deque
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import Final
@@ -49,6 +50,8 @@
 POLL_TURNS: Final = 4
 """Turns of the event loop until a connection is accepted, read and handled."""
 MAX_REASON_CHARACTERS: Final = 100
+WAITED_S: Final = web.RequestKey("waited_s", float)
+"""Time for which a request has waited for those before it on its connection."""
 
 
 def ignore_malformed(_reason: str) -> None:
@@ -64,6 +67,12 @@
     )
 
 
+def waited_s(request: web.BaseRequest) -> float:
+    """Return how long a request has waited for those before it on its connection."""
+    seconds: float = request.get(WAITED_S, 0.0)
+    return seconds
+
+
 async def invite_body(request: web.BaseRequest) -> None:
     """Tell a caller that waits for it to send its body (RFC 9110, section 10.1.1).
 
@@ -90,6 +99,7 @@
     """
 
     __slots__ = (
+        "arrivals",
         "content",
         "head_timeout_s",
         "head_timer",
@@ -98,6 +108,7 @@
         "unread_bytes",
     )
 
+    arrivals: deque[float]
     content: StreamReader | None
     head_timeout_s: float
     max_header_bytes: Callable[[], int]
@@ -109,6 +120,7 @@
         """Start the timer of the first request."""
         super().connection_made(transport)
         self.head_timer = None
+        self.arrivals = deque()
         self.content = None
         self.unread_bytes = 0
         self.start_head_timer()
@@ -124,6 +136,8 @@
             self.start_head_timer()
         before = self.progress()
         super().data_received(data)
+        loop = asyncio.get_running_loop()
+        self.arrivals.extend([loop.time()] * (self._request_count - before[0]))
         if self._messages:
             self.content = self._messages[-1][1]
         if self.progress() != before:
@@ -286,8 +300,8 @@
         writer: Any,  # noqa: ANN401 - the type is private to aiohttp
         task: asyncio.Task[None],
     ) -> web.BaseRequest:
-        """Create a request whose body is limited."""
-        return web.BaseRequest(
+        """Create a request whose body is limited, and note how long it has waited."""
+        request = web.BaseRequest(
             message,
             payload,
             protocol,
@@ -296,6 +310,9 @@
             self._loop,
             client_max_size=self.max_body_bytes,
         )
+        if isinstance(protocol, GuardedProtocol) and protocol.arrivals:
+            request[WAITED_S] = self._loop.time() - protocol.arrivals.popleft()
+        return request
 
     async def start(self, address: str, port: int) -> int:
         """Listen and return the port; raises ``TransportError`` when it can't."""
--- a/tests/gateway/test_time_left.py
+++ b/tests/gateway/test_time_left.py
@@ -104,13 +104,8 @@
         raise AssertionError("the request was not given up")
 
 
-@pytest.mark.parametrize(
-    ("timeout_ms", "deadline_ms", "ends_ms"), [(300, 5_000, 300), (5_000, 300, 300)]
-)
-def test_a_request_ends_at_the_earlier_of_deadline_and_timeout(
-    timeout_ms: int, deadline_ms: int, ends_ms: int
-) -> None:
-    """Guards against requests that stay open after their route's timeout (CONFIG)."""
+async def serve_without_answers(timeout_ms: int) -> tuple[HttpServer, int]:
+    """Start a router whose upstreams never answer; return its server and port."""
     document = {
         "version": "00000001",
         "baseVersion": "00000000",
@@ -130,17 +125,28 @@
         "services": [{"name": "s", "healthPath": "/healthz"}],
     }
 
+    ingress = make_ingress(SilentHops([]))
+    change = decode_replacement(msgspec.json.encode(document)).unwrap()
+    ingress.view.take_plan([change])
+    server = HttpServer(
+        ingress.handle,
+        max_body_bytes=1_000,
+        max_header_bytes=8_000,
+        header_timeout_s=5.0,
+    )
+    return server, await server.start("127.0.0.1", 0)
+
+
+@pytest.mark.parametrize(
+    ("timeout_ms", "deadline_ms", "ends_ms"), [(300, 5_000, 300), (5_000, 300, 300)]
+)
+def test_a_request_ends_at_the_earlier_of_deadline_and_timeout(
+    timeout_ms: int, deadline_ms: int, ends_ms: int
+) -> None:
+    """Guards against requests that stay open after their route's timeout (CONFIG)."""
+
     async def main() -> tuple[int, float]:
-        ingress = make_ingress(SilentHops([]))
-        change = decode_replacement(msgspec.json.encode(document)).unwrap()
-        ingress.view.take_plan([change])
-        server = HttpServer(
-            ingress.handle,
-            max_body_bytes=1_000,
-            max_header_bytes=8_000,
-            header_timeout_s=5.0,
-        )
-        port = await server.start("127.0.0.1", 0)
+        server, port = await serve_without_answers(timeout_ms)
         headers = {"Host": "a.example", HEADER_NAMES.deadline_ms: str(deadline_ms)}
         began = time.monotonic()
         async with (
@@ -155,3 +161,28 @@
     status, took_s = asyncio.run(main())
     assert status == 504
     assert ends_ms / 1_000 <= took_s < ends_ms / 1_000 + 0.5
+
+
+@pytest.mark.parametrize("count", [2, 3])
+def test_the_time_of_a_request_sent_ahead_begins_when_it_arrives(count: int) -> None:
+    """Guards against work for callers that count from when they sent (BUDGET)."""
+
+    async def main() -> tuple[bytes, float]:
+        server, port = await serve_without_answers(5_000)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        head = f"GET /x HTTP/1.1\r\nHost: a.example\r\n{HEADER_NAMES.deadline_ms}: 300"
+        began = time.monotonic()
+        writer.write(f"{head}\r\n\r\n".encode() * count)
+        received = b""
+        async with asyncio.timeout(5):
+            while received.count(b"HTTP/1.1 50") < count:
+                received += await reader.read(65_536)
+        took_s = time.monotonic() - began
+        writer.close()
+        await server.stop()
+        return received, took_s
+
+    received, took_s = asyncio.run(main())
+    assert received.count(b"HTTP/1.1 504") == 1
+    assert received.count(b"HTTP/1.1 503") == count - 1
+    assert took_s < 0.3 + 0.25
--- a/tests/router/test_http_server.py
+++ b/tests/router/test_http_server.py
@@ -11,6 +11,7 @@
 from aiohttp import web
 
 from sassafraswharf.router.http_server import HttpServer
+from sassafraswharf.router.http_server import waited_s
 
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -278,3 +279,55 @@
     Seen on strapworks-cairo, planned_stops.toml --vary --seed 1016992160838.
     """
     assert asyncio.run(close_while_a_connection_is_idle(requests, finishes)) == b""
+
+
+SENT_AHEAD_S = 0.15
+
+
+async def send_ahead(count: int, closes: bool) -> tuple[list[float], bytes, bool]:
+    """Send requests in one go; return their waits, the answers and the end."""
+    waits: list[float] = []
+
+    async def handle(request: web.BaseRequest) -> web.Response:
+        waits.append(waited_s(request))
+        await asyncio.sleep(SENT_AHEAD_S)
+        response = web.Response(text=f"answer {len(waits)}")
+        if closes:
+            response.force_close()
+        return response
+
+    server = HttpServer(
+        handle, max_body_bytes=1024, max_header_bytes=8192, header_timeout_s=5.0
+    )
+    port = await server.start("127.0.0.1", 0)
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(REQUEST * count)
+    received = b""
+    last = b"answer 1" if closes else f"answer {count}".encode()
+    async with asyncio.timeout(5):
+        while last not in received:
+            received += await reader.read(65_536)
+        await asyncio.sleep(0.05)
+        ended = reader.at_eof()
+    writer.close()
+    await server.stop()
+    return waits, received, ended
+
+
+@pytest.mark.parametrize("count", [1, 2, 4])
+def test_requests_sent_ahead_are_answered_in_order_with_their_waits(count: int) -> None:
+    """Guards against a request whose time begins when its predecessor has ended."""
+    waits, received, ended = asyncio.run(send_ahead(count, closes=False))
+    places = [received.index(f"answer {n + 1}".encode()) for n in range(count)]
+    assert places == sorted(places)
+    for number, wait in enumerate(waits):
+        assert number * SENT_AHEAD_S <= wait < (number + 1) * SENT_AHEAD_S
+    assert not ended
+
+
+def test_nothing_is_handled_behind_an_answer_that_closes_the_connection() -> None:
+    """Guards against a booking that its caller sends again, since it wasn't read."""
+    waits, received, ended = asyncio.run(send_ahead(3, closes=True))
+    assert len(waits) == 1
+    assert received.count(b"HTTP/1.1 200 OK") == 1
+    assert ended
