Take keys back over a connection of its own

Found by going through what operators of similar systems met: a second copy of an answer, late, on a connection in use again. Requests are safe, since an answer names its request. Calls that grant and release keys have no such name: a second copy of the answer to a grant, read as that of the next release, says that the work on the keys has ended. They would get their next owner while it runs.

A release now has a new connection. A grant may share one: a copy taken for its answer leaves the router with a belief that costs a refused request, since what may be held is counted from before the call.

Test before the fix: the release is answered at once and without its token; after it after 0.2 s with the token.

--- a/src/sassafraswharf/gateway/hold_caller.py
+++ b/src/sassafraswharf/gateway/hold_caller.py
@@ -10,8 +10,10 @@
 from aiohttp import ClientPayloadError
 
 from sassafraswharf.exceptions import ExchangeError
+from sassafraswharf.gateway.connection_pool import CONNECT_TIMEOUT_S
 from sassafraswharf.gateway.connection_pool import ConnectionPool
 from sassafraswharf.gateway.connection_pool import idle_limit_s
+from sassafraswharf.gateway.http_connection import HttpConnection
 from sassafraswharf.gateway.message_text import read_body
 
 
@@ -21,7 +23,6 @@
     from sassafraswharf.clock import Clock
     from sassafraswharf.fleet.sync import HeldRow
     from sassafraswharf.gateway.heartbeat import GrantedRow
-    from sassafraswharf.gateway.http_connection import HttpConnection
     from sassafraswharf.gateway.http_connection import ResponseHead
 
 
@@ -81,29 +82,37 @@
             return None
         row, hold_s = offered
         call = self.form.grant(row, hold_s, self.host, name)
-        return await self.exchange(connection, call)
+        try:
+            reply = await self.exchange(connection, call)
+        except BaseException:
+            connection.abort()
+            raise
+        self.pool.release(connection, connection.idle_limit_s)
+        return reply
 
     async def release(self, name: str, row: HeldRow) -> HoldReply:
         """Take keys back; answered when the work on them has ended.
 
-        Raises one of ``UNANSWERED``.
+        Each call has a connection of its own: a second copy of the answer to an
+        earlier call would look like the end of the work. Raises one of
+        ``UNANSWERED``.
         """
-        connection = await self.pool.acquire()
-        return await self.exchange(connection, self.form.release(row, self.host, name))
+        connection = await HttpConnection.connect(self.pool.address, CONNECT_TIMEOUT_S)
+        try:
+            call = self.form.release(row, self.host, name)
+            return await self.exchange(connection, call)
+        finally:
+            connection.abort()
 
     async def exchange(self, connection: HttpConnection, call: bytes) -> HoldReply:
         """Send a call and read its answer."""
-        try:
-            connection.begin(call, b"")
-            response = await connection.receive()
-            _, rest = await read_body(response.content)
-            if rest is not None:
-                raise ExchangeError("the answer is too long", sent=True)
-            self.pool.release(connection, idle_limit_s(response))
-            return HoldReply(response.status, self.form.handover(response))
-        finally:
-            if not connection.is_idle:
-                connection.abort()
+        connection.begin(call, b"")
+        response = await connection.receive()
+        _, rest = await read_body(response.content)
+        if rest is not None:
+            raise ExchangeError("the answer is too long", sent=True)
+        connection.idle_limit_s = idle_limit_s(response)
+        return HoldReply(response.status, self.form.handover(response))
 
     def close(self) -> None:
         """Close the idle connections."""
--- /dev/null
+++ b/tests/gateway/test_hold_caller.py
@@ -0,0 +1,129 @@
+"""Calls to an upstream whose answers are late, doubled or cut."""
+
+from __future__ import annotations
+
+import asyncio
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+import pytest
+
+from sassafraswharf.clock import BootClock
+from sassafraswharf.fleet.sync import HeldRow
+from sassafraswharf.gateway.heartbeat import GrantedRow
+from sassafraswharf.gateway.hold_caller import UNANSWERED
+from sassafraswharf.gateway.hold_caller import HoldCaller
+from sassafraswharf.platform.hold_calls import HoldCalls
+
+
+ROW = GrantedRow(0, 99, 5, "")
+HELD = HeldRow(0, 99, 5)
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+RELEASED = b"HTTP/1.1 200 OK\r\nHandover: token\r\nContent-Length: 0\r\n\r\n"
+WORK_S = 0.2
+Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
+async def read_call(reader: asyncio.StreamReader) -> bytes:
+    """Return the path of the next call."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    length = int(head.lower().partition(b"content-length: ")[2].split()[0])
+    await reader.readexactly(length)
+    return head.split()[1]
+
+
+def run(script: Script, check: Callable[[HoldCaller], Awaitable[None]]) -> None:
+    async def handle(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            await script(reader, writer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+    async def main() -> None:
+        server = await asyncio.start_server(handle, "127.0.0.1", 0)
+        address = server.sockets[0].getsockname()[:2]
+        caller = HoldCaller(address, HoldCalls(), BootClock())
+        try:
+            async with asyncio.timeout(5):
+                await check(caller)
+        finally:
+            caller.close()
+            server.close()
+
+    asyncio.run(main())
+
+
+def test_a_second_copy_of_a_grants_answer_is_not_taken_for_a_release() -> None:
+    """Guards against keys that are handed on while their work still runs.
+
+    The copy arrives where the answer to the next call is expected.
+    """
+
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        granted = False
+        while True:
+            path = await read_call(reader)
+            if path.endswith(b"/grant"):
+                writer.write(OK)
+                granted = True
+                continue
+            if granted:
+                writer.write(OK)
+            await asyncio.sleep(WORK_S)
+            writer.write(RELEASED)
+
+    async def check(caller: HoldCaller) -> None:
+        granted = await caller.grant("i-1", lambda: (ROW, 3.0))
+        assert granted is not None
+        began = asyncio.get_running_loop().time()
+        released = await caller.release("i-1", HELD)
+        took_s = asyncio.get_running_loop().time() - began
+        assert (released.status, released.handover) == (200, "token")
+        assert took_s >= WORK_S
+
+    run(script, check)
+
+
+@pytest.mark.parametrize("sent", [b"", OK[:20], b"no answer\r\n\r\n"])
+def test_a_call_without_a_whole_answer_has_no_outcome(sent: bytes) -> None:
+    """Guards against a grant that counts as refused although it was carried out."""
+
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await read_call(reader)
+        writer.write(sent)
+
+    async def check(caller: HoldCaller) -> None:
+        with pytest.raises(UNANSWERED):
+            await caller.grant("i-1", lambda: (ROW, 3.0))
+
+    run(script, check)
+
+
+def test_calls_to_grant_share_a_connection() -> None:
+    """Guards against a new connection for each renewal of a hold."""
+    opened: list[int] = []
+
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        opened.append(1)
+        while True:
+            await read_call(reader)
+            writer.write(OK)
+
+    async def check(caller: HoldCaller) -> None:
+        for _ in range(5):
+            assert await caller.grant("i-1", lambda: (ROW, 3.0)) is not None
+        assert await caller.grant("i-1", lambda: None) is None
+
+    run(script, check)
+    assert len(opened) == 1
