Test cut answers and stops on the loop of the processes too

The processes run on uvloop, which reports a closed or reset socket by itself; the tests of answers that break off, late second answers and idle connections of a stopping server ran on asyncio's loop only.

--- a/tests/gateway/test_http_connection.py
+++ b/tests/gateway/test_http_connection.py
@@ -8,8 +8,10 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterator
 
 import pytest
+import uvloop
 
 from aiohttp import ClientPayloadError
 
@@ -21,6 +23,17 @@
 Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
 
+@pytest.fixture(
+    autouse=True, params=[asyncio.DefaultEventLoopPolicy, uvloop.EventLoopPolicy]
+)
+def _loops(request: pytest.FixtureRequest) -> Iterator[None]:
+    """Run on the loop of the processes too, which reports closed sockets itself."""
+    before = asyncio.get_event_loop_policy()
+    asyncio.set_event_loop_policy(request.param())
+    yield
+    asyncio.set_event_loop_policy(before)
+
+
 def answer(identity: str, body: bytes, length: int | None = None) -> bytes:
     size = len(body) if length is None else length
     return (
--- a/tests/router/test_http_server.py
+++ b/tests/router/test_http_server.py
@@ -6,7 +6,10 @@
 import threading
 import time
 
+from typing import TYPE_CHECKING
+
 import pytest
+import uvloop
 
 from aiohttp import web
 
@@ -14,6 +17,10 @@
 from sassafraswharf.router.http_server import waited_s
 
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 BUSY_S = 0.4
 
@@ -267,10 +274,13 @@
         await server.stop()
 
 
+@pytest.mark.parametrize(
+    "new_loop", [asyncio.new_event_loop, uvloop.new_event_loop], ids=["asyncio", "uv"]
+)
 @pytest.mark.parametrize("finishes", [True, False])
 @pytest.mark.parametrize("requests", [0, 1, 2])
 def test_an_idle_connection_ends_when_its_requests_are_no_longer_read(
-    requests: int, finishes: bool
+    requests: int, finishes: bool, new_loop: Callable[[], asyncio.AbstractEventLoop]
 ) -> None:
     """Guards against a stop that reads requests and drops them (LOST).
 
@@ -278,7 +288,9 @@
     a request that came before the end of the process was read and never answered.
     Seen on strapworks-cairo, planned_stops.toml --vary --seed 1016992160838.
     """
-    assert asyncio.run(close_while_a_connection_is_idle(requests, finishes)) == b""
+    with asyncio.Runner(loop_factory=new_loop) as runner:
+        received = runner.run(close_while_a_connection_is_idle(requests, finishes))
+    assert received == b""
 
 
 SENT_AHEAD_S = 0.15
