Send the rows that changed, and at once only to routers that are concerned

A change has the rows that say something else of their keys; splice and merge make the same table of them everywhere, from any version. The router beside an upstream that gives or takes keys, joins or leaves is told at once, the others with the next answer to their report, 0.3 s at most. A request that meets an earlier owner is refused there, not run, and makes its router ask; configurations and drains keep their paths.

Ruled out: a longer hold time of reports (detection of losses and loads of keys hang on it), fewer key loads in reports (4 to 8 keys a report at that size).

--- a/src/sassafraswharf/fleet/control_node.py
+++ b/src/sassafraswharf/fleet/control_node.py
@@ -320,7 +320,7 @@
         return web.Response(body=body)
 
     async def sync(self, report: SyncRequest) -> SyncReply:
-        """Take a report; answer when there is news or ``hold_s`` has passed."""
+        """Take a report; answer at once with urgent news, or after ``hold_s``."""
         if not self.group.is_current_leader():
             return SyncReply(self.leader_address, self.control_addresses, 0.0)
         arrived_at = self.clock.now()
@@ -328,10 +328,7 @@
         self.feed.on_report(report)
         self.due.set()
         state = self.state
-        while (
-            report.plan_version >= state.plan.version
-            and report.fleet_version >= state.fleet.version
-        ):
+        while not self.feed.has_urgent_news(report):
             left_s = report.hold_s - (self.clock.now() - arrived_at)
             if left_s <= 0 or not await self.news.wait(left_s):
                 break
@@ -377,13 +374,18 @@
         if isinstance(done, Err):
             self.log.record("fleet_change_failed", why=str(done.err_value))
             return
+        self.feed.urgent.on_change(change, self.state.fleet.version)
         self.log.record(
             "fleet_change",
             reason=change.reason,
             version=self.state.fleet.version,
             joined=[one.instance.name for one in change.upstreams],
             left=[one.name for one in change.removed],
-            rows={one.service: len(one.rows) for one in change.rows},
+            changed_rows={one.service: len(one.rows) for one in change.rows},
+            rows={
+                one.service: len(self.state.fleet.rows[one.service])
+                for one in change.rows
+            },
             moving={
                 one.service: sum(row.is_moving for row in one.rows)
                 for one in change.rows
--- a/src/sassafraswharf/fleet/coordinator.py
+++ b/src/sassafraswharf/fleet/coordinator.py
@@ -7,6 +7,7 @@
 
 from sassafraswharf.fleet.crash_table import CrashTable
 from sassafraswharf.fleet.crash_table import checksum
+from sassafraswharf.fleet.fleet_table import changed_rows
 from sassafraswharf.fleet.fleet_table import free_rows
 from sassafraswharf.fleet.key_placement import Candidate
 from sassafraswharf.fleet.key_placement import KeyPlacement
@@ -159,12 +160,15 @@
         ]
         removed = [one for one in table.upstreams if self._is_gone(one, table, now)]
         if joined or removed:
-            rows = self._rows_without(table, set(removed))
-            return FleetChange(tuple(joined), tuple(removed), tuple(rows), "membership")
+            freed = self._rows_without(table, set(removed))
+            return FleetChange(
+                tuple(joined), tuple(removed), tuple(freed), "membership"
+            )
         changed = [
-            ServiceRows(service, planned)
+            ServiceRows(service, rows)
             for service in keyed
             if (planned := self._next_rows(service, table, now)) is not None
+            and (rows := changed_rows(table.rows.get(service, ()), planned))
         ]
         return FleetChange((), (), tuple(changed), "keys") if changed else None
 
@@ -227,7 +231,7 @@
                 KeyRow(row.first, row.last, NOBODY, 0) if row.owner in removed else row
                 for row in rows
             )
-            changed.append(ServiceRows(service, freed))
+            changed.append(ServiceRows(service, changed_rows(rows, freed)))
         return changed
 
     def _next_rows(
--- a/src/sassafraswharf/fleet/fleet_state.py
+++ b/src/sassafraswharf/fleet/fleet_state.py
@@ -163,8 +163,7 @@
         newer = [one for one in self.fleet_history if one.version > version]
         oldest = self.fleet_history[0].version if self.fleet_history else 0
         whole = self.fleet.snapshot()
-        # Each change of owners has all rows of its service, so that many changes
-        # are longer than the table.
+        # Many changes, each of many rows, can be longer than the table.
         is_shorter = sum(size_of(one.change) for one in newer) <= size_of(whole)
         if version and version >= oldest and is_shorter:
             return newer
--- a/src/sassafraswharf/fleet/fleet_table.py
+++ b/src/sassafraswharf/fleet/fleet_table.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from bisect import bisect_right
+from collections import deque
 from typing import TYPE_CHECKING
 
 from sassafraswharf.fleet.values import KEY_COUNT
@@ -13,6 +14,8 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from sassafraswharf.fleet.values import Instance
     from sassafraswharf.fleet.values import Upstream
 
@@ -49,8 +52,10 @@
             for upstream in self.upstreams.values():
                 self.by_service.setdefault(upstream.service, []).append(upstream)
         for service, rows in change.rows:
-            self.rows[service] = tuple(stamp(row, version) for row in rows)
-            self.starts[service] = [row.first for row in rows]
+            stamped = [stamp(row, version) for row in rows]
+            merged = merge_rows(splice(self.rows.get(service, ()), stamped))
+            self.rows[service] = merged
+            self.starts[service] = [row.first for row in merged]
 
     def row_of(self, service: str, key: int) -> KeyRow | None:
         """Return the row that has a key, ``None`` for a service without rows."""
@@ -82,6 +87,46 @@
     return row
 
 
+def splice(rows: Sequence[KeyRow], changed: Sequence[KeyRow]) -> list[KeyRow]:
+    """Return rows in which changed ones take the place of their keys.
+
+    Both are sorted; the changed ones may leave keys out that stay as they are.
+    """
+    spliced: list[KeyRow] = []
+    rest = deque(rows)
+    for new in changed:
+        while rest and rest[0].first < new.first:
+            row = rest.popleft()
+            spliced.append(row._replace(last=min(row.last, new.first - 1)))
+            if row.last >= new.first:
+                rest.appendleft(row._replace(first=new.first))
+        spliced.append(new)
+        while rest and rest[0].last <= new.last:
+            rest.popleft()
+        if rest and rest[0].first <= new.last:
+            rest[0] = rest[0]._replace(first=new.last + 1)
+    spliced.extend(rest)
+    return spliced
+
+
+def changed_rows(
+    before: Sequence[KeyRow], after: Sequence[KeyRow]
+) -> tuple[KeyRow, ...]:
+    """Return the rows of ``after`` that say something else of their keys.
+
+    ``splice`` makes ``after`` of ``before`` and these. Both have all keys.
+    """
+    changed = []
+    position = 0
+    for row in after:
+        while position < len(before) and before[position].last < row.first:
+            position += 1
+        known = before[position] if position < len(before) else None
+        if known is None or known.last < row.last or known[2:] != row[2:]:
+            changed.append(row)
+    return tuple(changed)
+
+
 def free_rows() -> tuple[KeyRow, ...]:
     """Return the rows of a service whose keys nobody owns."""
     return (KeyRow(0, KEY_COUNT - 1, NOBODY, 0),)
--- a/src/sassafraswharf/fleet/state_feed.py
+++ b/src/sassafraswharf/fleet/state_feed.py
@@ -7,6 +7,7 @@
 
 from sassafraswharf.fleet.part_budget import PartBudget
 from sassafraswharf.fleet.part_sender import PartSender
+from sassafraswharf.fleet.urgent_news import UrgentNews
 
 
 if TYPE_CHECKING:
@@ -34,12 +35,20 @@
         self.plan_sender = PartSender(state.encoded_plan_since)
         self.fleet_sender = PartSender(state.encoded_fleet_since)
         self.budget = PartBudget()
+        self.urgent = UrgentNews()
         self.lag_noted_at = 0.0
 
     def clear(self) -> None:
         """Forget the transfers of an earlier term."""
         self.plan_sender.clear()
         self.fleet_sender.clear()
+        self.urgent.clear()
+
+    def has_urgent_news(self, report: SyncRequest) -> bool:
+        """Return whether a report is to be answered before its hold time is over."""
+        if report.plan_version < self.state.plan.version:
+            return True
+        return self.urgent.concerns(report, self.state.fleet.version)
 
     def on_report(self, report: SyncRequest) -> None:
         """Take a report as the arrival of the parts sent before."""
--- a/src/sassafraswharf/fleet/values.py
+++ b/src/sassafraswharf/fleet/values.py
@@ -76,7 +76,7 @@
 
 
 class ServiceRows(NamedTuple):
-    """All rows of one keyed service, sorted and without gaps."""
+    """Rows of one keyed service, sorted; all of them or those that changed."""
 
     service: str
     rows: tuple[KeyRow, ...]
@@ -85,10 +85,10 @@
 class FleetChange(NamedTuple):
     """A step from one version of the fleet to a later one.
 
-    ``rows`` replaces the rows of each named service. A row with fence 0 gets
-    the log index of the change as its fence, one with a new target as the index
-    at which its owner was asked. With ``is_whole`` the change
-    replaces the table.
+    ``rows`` take the place of what the table says of their keys. A row with
+    fence 0 gets the log index of the change as its fence, one with a new target as
+    the index at which its owner was asked. With ``is_whole`` the change replaces
+    the table.
     """
 
     upstreams: tuple[Upstream, ...] = ()
--- a/src/sassafraswharf/gateway/ingress.py
+++ b/src/sassafraswharf/gateway/ingress.py
@@ -51,6 +51,8 @@
 MAX_LOGGED_TEXT: Final = 120
 """Characters of a caller's text that a line of the log repeats."""
 
+OUTDATED_OWNER: Final = frozenset({ResultCode.NOT_OWNER, ResultCode.NO_UPSTREAM})
+"""Codes after which a key may have another owner than this router knows."""
 UPSTREAM_FAILURES: Final = frozenset(
     {
         ResultCode.NO_UPSTREAM,
@@ -60,6 +62,10 @@
 )
 
 
+def do_nothing() -> None:
+    """Do nothing."""
+
+
 class Progress:
     """How far a request has come, for the decision log and the final answer."""
 
@@ -94,7 +100,11 @@
         clock: Clock,
         log: DecisionLog,
     ) -> None:
-        """Serve the callers that ``reader`` reads for."""
+        """Serve the callers that ``reader`` reads for.
+
+        ``refresh`` is called when the table seems to be outdated.
+        """
+        self.refresh: Callable[[], None] = do_nothing
         self.reader = reader
         self.names = reader.names
         self.view = view
@@ -234,6 +244,8 @@
             rejection = outcome.err_value
             progress.last = self.combine(progress.last, rejection)
             self.tally.attempts[str(int(rejection.code))] += 1
+            if work.key is not None and rejection.code in OUTDATED_OWNER:
+                self.refresh()
             if not self.may_try_again(work, route, rejection, progress, budget):
                 return Err(progress.last)
             if work.key is not None and rejection.code is ResultCode.NO_UPSTREAM:
--- a/src/sassafraswharf/gateway/router_node.py
+++ b/src/sassafraswharf/gateway/router_node.py
@@ -132,6 +132,7 @@
             self.on_suspects,
         )
         self.crashes.on_crash = self.on_crash
+        self.ingress.refresh = self.link.report_now
         self.delivery = self.create_delivery(hold_calls)
         self.callers = self.create_server(self.ingress)
         self.routers = self.create_server(self.hop_server)
--- /dev/null
+++ b/tests/fleet/test_urgent_news.py
@@ -0,0 +1,88 @@
+"""Who hears of a change at once: a hot range that moves in a fleet of 200."""
+
+from __future__ import annotations
+
+import pytest
+
+from sassafraswharf.fleet.sync import SyncRequest
+from sassafraswharf.fleet.sync import UpstreamReport
+from sassafraswharf.fleet.transfer import Cursor
+from sassafraswharf.fleet.urgent_news import UrgentNews
+from sassafraswharf.fleet.values import FleetChange
+from sassafraswharf.fleet.values import Instance
+from sassafraswharf.fleet.values import KeyRow
+from sassafraswharf.fleet.values import ServiceRows
+from sassafraswharf.fleet.values import Upstream
+
+
+ROUTERS = 200
+KNOWN, NEWEST = 40, 41
+
+
+def instance(number: int) -> Instance:
+    return Instance(f"i-{number}", 1)
+
+
+def report(
+    number: int, fleet_version: int = KNOWN, cursor: Cursor | None = None
+) -> SyncRequest:
+    upstream = UpstreamReport(instance(number), "s", 6, False, 0.1, (), (), True)
+    host = f"side-{number}"
+    return SyncRequest(
+        host, "ip", "a", 1, 1, 0, fleet_version, 0.3, upstream, fleet_cursor=cursor
+    )
+
+
+def moved(row: KeyRow) -> FleetChange:
+    return FleetChange((), (), (ServiceRows("s", (row,)),), "keys")
+
+
+ASKED = moved(KeyRow(5, 9, instance(3), 7, "", instance(8)))
+SETTLED = moved(KeyRow(5, 9, instance(8), 0, "token"))
+JOINED = FleetChange((Upstream(instance(3), "s", "h", "ip", "a", 6, False),))
+LEFT = FleetChange((), (instance(3),))
+
+
+@pytest.mark.parametrize(
+    ("change", "concerned"),
+    [(ASKED, {3, 8}), (SETTLED, {8}), (JOINED, {3}), (LEFT, set())],
+    ids=["asked", "settled", "joined", "left"],
+)
+def test_a_change_concerns_givers_and_takers_only(
+    change: FleetChange, concerned: set[int]
+) -> None:
+    """Guards against a table sent to every router at each move (hot key)."""
+    news = UrgentNews()
+    news.on_change(change, NEWEST)
+    found = {n for n in range(ROUTERS) if news.concerns(report(n), NEWEST)}
+    assert found == concerned
+
+
+@pytest.mark.parametrize(
+    ("one", "is_urgent"),
+    [
+        (report(3), True),
+        (report(3, NEWEST), False),
+        (report(50, 0), True),
+        (report(50, KNOWN, Cursor(1, 10)), True),
+        (report(50)._replace(upstream=None), True),
+        (report(50), False),
+    ],
+    ids=["concerned", "newest", "no table", "transfer", "no upstream", "other"],
+)
+def test_a_router_without_a_table_does_not_wait(
+    one: SyncRequest, is_urgent: bool
+) -> None:
+    """Guards against restarted routers that serve nothing for a hold time."""
+    news = UrgentNews()
+    news.on_change(ASKED, NEWEST)
+    assert news.concerns(one, NEWEST) is is_urgent
+
+
+def test_an_earlier_change_is_not_forgotten_behind_later_ones() -> None:
+    """Guards against a giver that never hears that its keys are asked for."""
+    news = UrgentNews()
+    news.on_change(ASKED, NEWEST)
+    news.on_change(moved(KeyRow(50, 60, instance(90), 0)), NEWEST + 1)
+    assert news.concerns(report(3), NEWEST + 1)
+    assert not news.concerns(report(4), NEWEST + 1)
--- a/tests/gateway/test_ingress.py
+++ b/tests/gateway/test_ingress.py
@@ -179,3 +179,33 @@
     assert isinstance(outcome, Err)
     assert outcome.err_value.code is code
     assert outcome.err_value.not_run is (code is ResultCode.QUARANTINED)
+
+
+@pytest.mark.parametrize(
+    ("key", "first", "asks"),
+    [
+        (KEY, Err(Rejection(ResultCode.NOT_OWNER, "moved", True)), True),
+        (KEY, NOT_RUN, True),
+        (KEY, FULL, False),
+        (None, NOT_RUN, False),
+    ],
+)
+def test_a_router_asks_for_the_table_after_a_misdirected_request(
+    key: int | None, first: Outcome, asks: bool
+) -> None:
+    """Guards against keys that are refused until the next report (hot key moved)."""
+
+    async def main() -> bool:
+        ingress = make_ingress(Hops([first, ANSWER]))
+        asked = asyncio.Event()
+        ingress.refresh = asked.set
+        now = ingress.clock.now()
+        terms = Terms(1, False, now + 0.1, now + 0.3)
+        service = "s" if key is None else "k"
+        work = Work("id", "GET", "/", (), b"", None, service, "s", key, True, terms)
+        targets = (RouteTarget(service, 1),)
+        route = Route("r", "h", "/", True, 1.0, 0.3, 1, 2, targets)
+        await ingress.serve(work, route, Progress())
+        return asked.is_set()
+
+    assert asyncio.run(main()) is asks
