Acknowledge a leave once the fleet knows of it

Found by going through what operators of similar systems met: after a restart of one of the system's processes, a server that had left was in use again. It can happen here: an upstream says once that it leaves and goes on to announce itself as it was until it exits, seconds later. The next process heard of an upstream at work and gave it new requests, against the acknowledged drain.

The acknowledgement now waits until the table of the fleet, which a new process reads, has the upstream as draining; after 0.8 s without it is 503. The router itself stops giving it work at once, as before. A router that hears of a leave before its table has come takes it up when that comes.

Shown with the old acknowledgement: with no control host up, the leave is acknowledged and the upstream gets bookings 3 s after its router was killed and restarted. After: not acknowledged then; with a leader, acknowledged and no work.

--- /dev/null
+++ b/src/sassafraswharf/gateway/announcements.py
@@ -0,0 +1,147 @@
+"""What the upstream beside a router says of itself."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Final
+
+from sassafraswharf.gateway.key_holds import is_newer
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sassafraswharf.clock import Clock
+    from sassafraswharf.fleet.values import Instance
+    from sassafraswharf.gateway.fleet_view import FleetView
+    from sassafraswharf.gateway.heartbeat import Grant
+    from sassafraswharf.gateway.heartbeat import Heartbeat
+    from sassafraswharf.gateway.hold_delivery import HoldDelivery
+    from sassafraswharf.gateway.local_upstream import LocalUpstream
+    from sassafraswharf.observability.decision_log import DecisionLog
+
+
+LEAVE_ANSWER_S: Final = 0.8
+"""An upstream takes an answer for a second."""
+
+
+class Announcements:
+    """Takes heartbeats and leaves, and what the fleet remembers of them."""
+
+    def __init__(
+        self,
+        local: LocalUpstream,
+        delivery: HoldDelivery,
+        view: FleetView,
+        report_now: Callable[[], None],
+        service: Callable[[], str],
+        clock: Clock,
+        log: DecisionLog,
+    ) -> None:
+        """Follow ``local``; ``service`` is the one that the settings name."""
+        self.local = local
+        self.delivery = delivery
+        self.view = view
+        self.report_now = report_now
+        self.service = service
+        self.clock = clock
+        self.log = log
+
+    def follow_fleet(self, host: str) -> None:
+        """Take what the fleet knows of the upstream of this host.
+
+        After a restart of the router the upstream goes on and still holds its keys,
+        so it is served before its next heartbeat: it refuses what it doesn't hold.
+        The fleet also remembers that it drains, which an earlier process may have
+        acknowledged.
+        """
+        local = self.local
+        upstreams = self.view.fleet.upstreams
+        now = self.clock.now()
+        if local.beat is not None:
+            known = upstreams.get(local.beat.instance)
+            if known is not None and known.draining:
+                local.on_fleet_drain(known.instance, now)
+        elif not local.ended:
+            here = [one for one in upstreams.values() if one.host == host]
+            for upstream in here[:1]:
+                local.adopt(upstream, now)
+
+    async def on_heartbeat(self, beat: Heartbeat) -> Grant | None:
+        """Take a heartbeat; return what the upstream is to hold, if it is told.
+
+        A late heartbeat of an earlier life or order changes nothing and is told
+        nothing.
+        """
+        now = self.clock.now()
+        local = self.local
+        refused = self.reason_to_ignore(beat)
+        if refused:
+            self.log.record(refused, upstream=beat.instance.name)
+            return None
+        known = local.beat
+        local.on_heartbeat(beat, now)
+        released = local.holds.on_heartbeat(beat, now)
+        is_new = known is None or known.instance != beat.instance
+        if is_new or released or known is None or known.draining != beat.draining:
+            self.log.record(
+                "upstream_state",
+                upstream=beat.instance.name,
+                draining=beat.draining,
+                released=len(beat.released),
+            )
+            self.report_now()
+        return await self.delivery.answer(beat, now)
+
+    def reason_to_ignore(self, beat: Heartbeat) -> str:
+        """Return the event to log in place of taking a heartbeat, if there is one."""
+        if not self.is_of_this_host(beat):
+            return "heartbeat_of_a_stranger"
+        if not is_newer(beat, self.local.beat):
+            return "heartbeat_ignored"
+        if beat.instance in self.local.ended:
+            return "heartbeat_of_ended_life"
+        return ""
+
+    def is_of_this_host(self, beat: Heartbeat) -> bool:
+        """Return whether a heartbeat can be one of the upstream of this host."""
+        if beat.address != self.local.pool.address:
+            return False
+        routes = self.view.routes
+        return beat.service == self.service() or (
+            routes is not None and beat.service in routes.services
+        )
+
+    async def on_leave(self, instance: Instance) -> bool:
+        """Take the upstream's word that it leaves; return whether the fleet knows.
+
+        It says so once. Acknowledged before the fleet knows, it would be forgotten
+        with this process, and the next one would send it work.
+        """
+        self.log.record("upstream_leaves", upstream=instance.name)
+        until = self.clock.now() + LEAVE_ANSWER_S
+        while (left_s := until - self.clock.now()) > 0:
+            # Heard again, since the router may have learnt of the upstream only now.
+            self.local.on_leave(instance, self.clock.now())
+            if self.is_leave_known(instance):
+                return True
+            self.report_now()
+            await self.view.changed.wait(left_s)
+        self.log.record("leave_unconfirmed", upstream=instance.name)
+        return False
+
+    def is_leave_known(self, instance: Instance) -> bool:
+        """Return whether no process of a router will give the upstream new work."""
+        fleet = self.view.fleet
+        if not fleet.version:
+            return False
+        known = [one for one in fleet.upstreams if is_same_life(one, instance)]
+        beat = self.local.beat
+        if not known and beat is not None and is_same_life(beat.instance, instance):
+            return False
+        return all(fleet.upstreams[one].draining for one in known)
+
+
+def is_same_life(known: Instance, named: Instance) -> bool:
+    """Return whether an upstream is the named one; a start of 0 is any start."""
+    return known.name == named.name and named.born in {0, known.born}
--- a/src/sassafraswharf/gateway/router_node.py
+++ b/src/sassafraswharf/gateway/router_node.py
@@ -12,6 +12,7 @@
 from sassafraswharf.fleet.coordinator import LeaseTiming
 from sassafraswharf.fleet.sync import SyncRequest
 from sassafraswharf.fleet.sync import UpstreamReport
+from sassafraswharf.gateway.announcements import Announcements
 from sassafraswharf.gateway.call_delivery import CallDelivery
 from sassafraswharf.gateway.control_link import ControlLink
 from sassafraswharf.gateway.crash_evidence import REFUSED_CRASHES
@@ -23,7 +24,6 @@
 from sassafraswharf.gateway.hop_server import HopServer
 from sassafraswharf.gateway.ingress import Ingress
 from sassafraswharf.gateway.key_holds import KeyHolds
-from sassafraswharf.gateway.key_holds import is_newer
 from sassafraswharf.gateway.local_upstream import LocalUpstream
 from sassafraswharf.gateway.repeat_budget import RepeatBudget
 from sassafraswharf.gateway.request_reader import RequestReader
@@ -35,8 +35,6 @@
     from sassafraswharf.clock import Clock
     from sassafraswharf.fleet.sync import Suspect
     from sassafraswharf.fleet.values import Instance
-    from sassafraswharf.gateway.heartbeat import Grant
-    from sassafraswharf.gateway.heartbeat import Heartbeat
     from sassafraswharf.gateway.hold_caller import HoldCallFormat
     from sassafraswharf.gateway.hold_delivery import HoldDelivery
     from sassafraswharf.gateway.work import HeaderNames
@@ -108,8 +106,9 @@
                 node.terms.drain_s,
                 self.crashes,
             )
-        service = node.upstream["service"] if node.upstream else ""
-        self.reader = RequestReader(service, names, self.view, self.rng.random())
+        self.reader = RequestReader(
+            self.own_service(), names, self.view, self.rng.random()
+        )
         self.ingress = Ingress(
             self.reader,
             self.view,
@@ -134,6 +133,7 @@
         self.crashes.on_crash = self.on_crash
         self.ingress.refresh = self.link.report_now
         self.delivery = self.create_delivery(hold_calls)
+        self.announcements = self.create_announcements()
         self.callers = self.create_server(self.ingress)
         self.routers = self.create_server(self.hop_server)
         self.stopping = False
@@ -158,6 +158,24 @@
             self.log,
         )
 
+    def create_announcements(self) -> Announcements | None:
+        """Return what listens to the upstream beside."""
+        if self.local is None or self.delivery is None:
+            return None
+        return Announcements(
+            self.local,
+            self.delivery,
+            self.view,
+            self.link.report_now,
+            self.own_service,
+            self.clock,
+            self.log,
+        )
+
+    def own_service(self) -> str:
+        """Return the service of the upstream beside, empty if there is none."""
+        return self.node.upstream["service"] if self.node.upstream else ""
+
     def takes_keys(self) -> bool:
         """Return whether keys may be given to the upstream beside."""
         return not self.stopping
@@ -226,7 +244,7 @@
         """Use changed settings: the seeds and the service of the upstream."""
         self.node = node
         self.link.seeds = tuple(ip for ip, _ in node.seeds)
-        self.reader.origin = node.upstream["service"] if node.upstream else ""
+        self.reader.origin = self.own_service()
 
     def is_ready(self) -> bool:
         """Return whether callers may send requests to this process."""
@@ -241,7 +259,8 @@
         while True:
             upstreams = self.view.fleet.upstreams
             self.follow_limits()
-            self.follow_upstream()
+            if self.announcements is not None:
+                self.announcements.follow_fleet(self.node.host)
             self.choice.keep_only(set(upstreams))
             self.hops.keep_only({one.router for one in upstreams.values()})
             routers = self.count_routers()
@@ -260,78 +279,11 @@
 
     # The upstream of this host.
 
-    def follow_upstream(self) -> None:
-        """Take what the fleet knows of the upstream of this host.
-
-        After a restart of the router the upstream goes on and still holds its keys,
-        so it is served before its next heartbeat: it refuses what it doesn't hold.
-        The fleet also remembers that it drains, which an earlier process may have
-        acknowledged.
-        """
-        local = self.local
-        if local is None:
-            return
-        upstreams = self.view.fleet.upstreams
-        now = self.clock.now()
-        if local.beat is not None:
-            known = upstreams.get(local.beat.instance)
-            if known is not None and known.draining:
-                local.on_fleet_drain(known.instance, now)
-        elif not local.ended:
-            here = [one for one in upstreams.values() if one.host == self.node.host]
-            for upstream in here[:1]:
-                local.adopt(upstream, now)
-
     def is_owner(self, service: str, key: int, instance: Instance) -> bool:
         """Return whether the fleet assigns a key to an upstream."""
         row = self.view.fleet.row_of(service, key)
         return row is not None and row.owner == instance and not row.is_moving
 
-    async def on_heartbeat(self, beat: Heartbeat) -> Grant | None:
-        """Take a heartbeat; return what the upstream is to hold, if it is told.
-
-        A late heartbeat of an earlier life or order changes nothing and is told
-        nothing.
-        """
-        now = self.clock.now()
-        local = self.local
-        if (
-            local is None
-            or self.delivery is None
-            or not self.is_of_this_host(beat, local)
-        ):
-            self.log.record("heartbeat_of_a_stranger", upstream=beat.instance.name)
-            return None
-        if not is_newer(beat, local.beat):
-            self.log.record("heartbeat_ignored", upstream=beat.instance.name)
-            return None
-        if beat.instance in local.ended:
-            self.log.record("heartbeat_of_ended_life", upstream=beat.instance.name)
-            return None
-        known = local.beat
-        local.on_heartbeat(beat, now)
-        released = self.holds.on_heartbeat(beat, now)
-        is_new = known is None or known.instance != beat.instance
-        if is_new or released or known is None or known.draining != beat.draining:
-            self.log.record(
-                "upstream_state",
-                upstream=beat.instance.name,
-                draining=beat.draining,
-                released=len(beat.released),
-            )
-            self.link.report_now()
-        return await self.delivery.answer(beat, now)
-
-    def is_of_this_host(self, beat: Heartbeat, local: LocalUpstream) -> bool:
-        """Return whether a heartbeat can be one of the upstream of this host."""
-        if beat.address != local.pool.address:
-            return False
-        routes = self.view.routes
-        expected = self.node.upstream["service"] if self.node.upstream else ""
-        return beat.service == expected or (
-            routes is not None and beat.service in routes.services
-        )
-
     def on_crash(self, instance: Instance, lost: int) -> None:
         """Report the end of a life at once, so that its keys get an owner."""
         self.log.record("upstream_ended", upstream=instance.name, lost=lost)
@@ -343,14 +295,6 @@
         refused = [one for one in suspects if one.crashes >= REFUSED_CRASHES]
         self.log.record("suspects", requests=len(suspects), refused=len(refused))
 
-    def on_leave(self, instance: Instance) -> None:
-        """Take the upstream's word that it leaves."""
-        if self.local is None:
-            return
-        self.log.record("upstream_leaves", upstream=instance.name)
-        self.local.on_leave(instance, self.clock.now())
-        self.link.report_now()
-
     def make_report(self, hold_s: float, sequence: int) -> SyncRequest:
         """Return the report to the leader."""
         local = self.local
--- a/src/sassafraswharf/platform/endpoint_api.py
+++ b/src/sassafraswharf/platform/endpoint_api.py
@@ -14,6 +14,7 @@
 
 
 if TYPE_CHECKING:
+    from sassafraswharf.gateway.announcements import Announcements
     from sassafraswharf.gateway.router_node import RouterNode
     from sassafraswharf.observability.decision_log import DecisionLog
 
@@ -33,23 +34,28 @@
         """Take a heartbeat or a leave."""
         path = request.raw_path
         body = await request.read()
+        announcements = self.router.announcements
+        if announcements is None:
+            return web.Response(status=404)
         if path.startswith(names.HEARTBEAT_PATH):
-            return await self.take_heartbeat(
-                path.removeprefix(names.HEARTBEAT_PATH), body
-            )
+            endpoint_id = path.removeprefix(names.HEARTBEAT_PATH)
+            return await self.take_heartbeat(announcements, endpoint_id, body)
         if path.startswith(names.LEAVE_PATH):
             endpoint_id = path.removeprefix(names.LEAVE_PATH)
-            self.router.on_leave(decode_leave(endpoint_id, body))
-            return web.Response(body=b"{}", content_type=JSON)
+            known = await announcements.on_leave(decode_leave(endpoint_id, body))
+            status = 200 if known else 503
+            return web.Response(status=status, body=b"{}", content_type=JSON)
         return web.Response(status=404)
 
-    async def take_heartbeat(self, endpoint_id: str, body: bytes) -> web.Response:
+    async def take_heartbeat(
+        self, announcements: Announcements, endpoint_id: str, body: bytes
+    ) -> web.Response:
         """Pass a heartbeat on and return the grant."""
         beat = decode_heartbeat(endpoint_id, body)
         if isinstance(beat, Err):
             self.log.record("heartbeat_unreadable", why=beat.err_value)
             return web.Response(status=400, text=beat.err_value)
-        grant = await self.router.on_heartbeat(beat.ok_value)
+        grant = await announcements.on_heartbeat(beat.ok_value)
         return web.Response(body=encode_grant(grant), content_type=JSON)
 
     async def handle_readiness(self, request: web.BaseRequest) -> web.Response:
--- a/src/sassafraswharf_bench/provider/endpoint.py
+++ b/src/sassafraswharf_bench/provider/endpoint.py
@@ -198,11 +198,16 @@
                 self.released.append((hold.first, hold.last, token))
         self.releasing = working
 
-    async def leave(self) -> None:
-        """Say that this endpoint leaves for good."""
+    async def leave(self) -> bool:
+        """Say that this endpoint leaves; return whether that was acknowledged."""
         assert self.session is not None
-        async with self.session.post(self.url("Endpoints.Deregister")) as response:
-            await response.read()
+        url = self.url("Endpoints.Deregister")
+        try:
+            async with self.session.post(url) as response:
+                await response.read()
+                return response.ok
+        except (aiohttp.ClientError, TimeoutError):
+            return False
 
     def url(self, call: str) -> str:
         """Return the address of a call for this endpoint."""
--- /dev/null
+++ b/tests/gateway/test_announcements.py
@@ -0,0 +1,87 @@
+"""When a router tells its upstream that the fleet knows that it leaves."""
+
+from __future__ import annotations
+
+import asyncio
+
+from typing import Any
+
+import pytest
+
+from sassafraswharf.clock import BootClock
+from sassafraswharf.fleet.values import FleetChange
+from sassafraswharf.fleet.values import Instance
+from sassafraswharf.fleet.values import Upstream
+from sassafraswharf.gateway import announcements
+from sassafraswharf.gateway.announcements import Announcements
+from sassafraswharf.gateway.crash_evidence import CrashEvidence
+from sassafraswharf.gateway.fleet_view import FleetView
+from sassafraswharf.gateway.heartbeat import Heartbeat
+from sassafraswharf.gateway.key_holds import KeyHolds
+from sassafraswharf.gateway.local_upstream import LocalUpstream
+from sassafraswharf.observability.decision_log import DecisionLog
+from sassafraswharf.platform.documents import DocumentReader
+from sassafraswharf.platform.names import HEADER_NAMES
+
+
+ADDRESS = ("127.0.0.1", 9)
+SELF = Instance("i-1", 7)
+EARLIER = Instance("i-1", 5)
+UNBORN = Instance("i-1", 0)
+
+
+def known(instance: Instance, *, draining: bool) -> Upstream:
+    return Upstream(instance, "desk", "h", "127.0.0.1", "a", 4, draining)
+
+
+@pytest.mark.parametrize(
+    ("heard", "fleet", "leaves", "is_known"),
+    [
+        (SELF, [known(SELF, draining=False)], SELF, False),
+        (SELF, [known(SELF, draining=True)], SELF, True),
+        (SELF, [known(SELF, draining=False)], UNBORN, False),
+        (SELF, [known(SELF, draining=True)], UNBORN, True),
+        (SELF, [], SELF, False),
+        (SELF, None, SELF, False),
+        (None, None, SELF, False),
+        (None, [], SELF, True),
+        (SELF, [known(SELF, draining=False)], EARLIER, True),
+    ],
+)
+def test_a_leave_is_acknowledged_once_the_fleet_knows(
+    heard: Instance | None,
+    fleet: list[Upstream] | None,
+    leaves: Instance,
+    is_known: bool,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a leave that is forgotten when its router restarts (DRAIN)."""
+    monkeypatch.setattr(announcements, "LEAVE_ANSWER_S", 0.05)
+    reports: list[int] = []
+    delivery: Any = None
+
+    async def main() -> bool:
+        clock = BootClock()
+        log = DecisionLog("h", -1)
+        view = FleetView(DocumentReader(), log)
+        if fleet is not None:
+            view.fleet.apply(3, FleetChange(tuple(fleet)))
+        local = LocalUpstream(
+            ADDRESS,
+            HEADER_NAMES,
+            KeyHolds(0.0, 4.5, 2.5),
+            lambda *_: True,
+            clock,
+            2.0,
+            CrashEvidence(),
+        )
+        if heard is not None:
+            beat = Heartbeat(heard, "desk", ADDRESS, 4, False, 0.0, 1)
+            local.on_heartbeat(beat, clock.now())
+        listener = Announcements(
+            local, delivery, view, lambda: reports.append(1), str, clock, log
+        )
+        return await listener.on_leave(leaves)
+
+    assert asyncio.run(main()) is is_known
+    assert is_known or reports
--- a/tests/provider/test_fleet.py
+++ b/tests/provider/test_fleet.py
@@ -190,6 +190,39 @@
     play(tmp_path, 17, scenario)
 
 
+@pytest.mark.parametrize("has_leader", [True, False])
+def test_an_upstream_whose_leave_was_acknowledged_gets_no_work_after_a_restart(
+    tmp_path: Path, has_leader: bool
+) -> None:
+    """Guards against a server that has left and is used again after a restart.
+
+    It says so once and goes on to announce itself, and its router ends right after
+    the acknowledgement.
+    """
+
+    async def scenario(fleet: Fleet) -> None:
+        leaving = fleet.endpoints["side-3"]
+        controls = [one.name for one in fleet.machines.controls]
+        if not has_leader:
+            for name in controls:
+                fleet.machines.kill(name)
+        is_acknowledged = await leaving.leave()
+        fleet.machines.kill("side-3")
+        if not has_leader:
+            for name in controls:
+                fleet.machines.start(name)
+        fleet.machines.start("side-3")
+        await asyncio.sleep(3.0)
+        before = len(leaving.runs)
+        caller = fleet.caller("side-0")
+        for _ in range(30):
+            await caller.send("POST", "/book/x", HOST, body=b"b")
+        assert is_acknowledged or not has_leader
+        assert not is_acknowledged or len(leaving.runs) == before
+
+    play(tmp_path, 21 if has_leader else 22, scenario)
+
+
 def test_metrics_are_served_when_somebody_reads_them(tmp_path: Path) -> None:
     """Guards against counters that exist in the code and on no page."""
 
