--- a/src/sassafraswharf/gateway/heartbeat_delivery.py
+++ b/src/sassafraswharf/gateway/heartbeat_delivery.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 from typing import Final
 
@@ -45,6 +46,7 @@
         self.lease_until = lease_until
         self.takes_keys = takes_keys
         self.clock = clock
+        self.outcomes: Counter[str] = Counter()
 
     def start(self) -> None:
         """Do nothing: heartbeats come by themselves."""
--- a/src/sassafraswharf/gateway/hold_delivery.py
+++ b/src/sassafraswharf/gateway/hold_delivery.py
@@ -7,6 +7,8 @@
 
 
 if TYPE_CHECKING:
+    from collections import Counter
+
     from sassafraswharf.fleet.sync import HeldRow
     from sassafraswharf.gateway.heartbeat import Grant
     from sassafraswharf.gateway.heartbeat import Heartbeat
@@ -15,9 +17,12 @@
 class HoldDelivery(Protocol):
     """Brings the table's rows to the upstream and their releases back.
 
-    What may be held, and for how long, is decided by ``KeyHolds`` alone.
+    What may be held, and for how long, is decided by ``KeyHolds`` alone. ``outcomes``
+    counts how calls to the upstream ended.
     """
 
+    outcomes: Counter[str]
+
     def start(self) -> None:
         """Start to follow the table."""
 
--- a/src/sassafraswharf/gateway/router_metrics.py
+++ b/src/sassafraswharf/gateway/router_metrics.py
@@ -36,6 +36,13 @@
         lambda: [(router.link.received_bytes, {})],
         "Bytes of answers to reports, those of failed ones included",
     )
+    delivery = router.delivery
+    if delivery is not None:
+        metrics.observe(
+            "sassafraswharf_hold_calls",
+            lambda: labelled("outcome", delivery.outcomes),
+            "Calls that granted keys to the upstream or took them back",
+        )
     metrics.observe(
         "sassafraswharf_route_requests",
         lambda: labelled("route", tally.routes),
--- a/tests/provider/test_called_grants.py
+++ b/tests/provider/test_called_grants.py
@@ -9,6 +9,7 @@
 
 from typing import TYPE_CHECKING
 
+import aiohttp
 import pytest
 
 from tests.provider.harness import BOOKING
@@ -104,5 +105,13 @@
             return all(reply.status == 200 for reply in replies)
 
         await fleet.until(is_served, "keys are not served again")
+        ip = fleet.machines.machine("side-0").ip
+        async with (
+            aiohttp.ClientSession() as session,
+            session.get(f"http://{ip}:9464/metrics") as response,
+        ):
+            page = await response.text()
+        assert "sassafraswharf_hold_calls_total" in page
+        assert 'outcome="granted"' in page
 
     play(tmp_path, 33 if number is signal.SIGKILL else 34, scenario)
