--- a/tests/gateway/test_announcements.py
+++ b/tests/gateway/test_announcements.py
@@ -14,14 +14,11 @@
 from sassafraswharf.fleet.values import Upstream
 from sassafraswharf.gateway import announcements
 from sassafraswharf.gateway.announcements import Announcements
-from sassafraswharf.gateway.crash_evidence import CrashEvidence
 from sassafraswharf.gateway.fleet_view import FleetView
 from sassafraswharf.gateway.heartbeat import Heartbeat
-from sassafraswharf.gateway.key_holds import KeyHolds
-from sassafraswharf.gateway.local_upstream import LocalUpstream
 from sassafraswharf.observability.decision_log import DecisionLog
 from sassafraswharf.platform.documents import DocumentReader
-from sassafraswharf.platform.names import HEADER_NAMES
+from tests.gateway.local_upstreams import make_local
 
 
 ADDRESS = ("127.0.0.1", 9)
@@ -66,15 +63,7 @@
         view = FleetView(DocumentReader(), log)
         if fleet is not None:
             view.fleet.apply(3, FleetChange(tuple(fleet)))
-        local = LocalUpstream(
-            ADDRESS,
-            HEADER_NAMES,
-            KeyHolds(0.0, 4.5, 2.5),
-            lambda *_: True,
-            clock,
-            2.0,
-            CrashEvidence(),
-        )
+        local = make_local(ADDRESS, clock=clock)
         if heard is not None:
             beat = Heartbeat(heard, "desk", ADDRESS, 4, False, 0.0, 1)
             local.on_heartbeat(beat, clock.now())
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -12,6 +12,7 @@
 from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 from typing import Any
 from typing import Final
 from typing import NamedTuple
@@ -36,8 +37,6 @@
 from sassafraswharf.gateway.hop_server import HopServer
 from sassafraswharf.gateway.http_connection import HttpConnection
 from sassafraswharf.gateway.ingress import Ingress
-from sassafraswharf.gateway.key_holds import KeyHolds
-from sassafraswharf.gateway.local_upstream import LocalUpstream
 from sassafraswharf.gateway.message_text import read_body
 from sassafraswharf.gateway.repeat_budget import RepeatBudget
 from sassafraswharf.gateway.request_reader import RequestReader
@@ -47,6 +46,11 @@
 from sassafraswharf.platform.documents import decode_replacement
 from sassafraswharf.platform.names import HEADER_NAMES
 from sassafraswharf.router.http_server import HttpServer
+from tests.gateway.local_upstreams import make_local
+
+
+if TYPE_CHECKING:
+    from sassafraswharf.gateway.local_upstream import LocalUpstream
 
 
 Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
@@ -327,19 +331,10 @@
         return False
 
 
-def make_local(address: tuple[str, int], instance: Instance) -> LocalUpstream:
-    clock = BootClock()
-    local = LocalUpstream(
-        address,
-        HEADER_NAMES,
-        KeyHolds(0.0, 4.5, 2.5),
-        lambda *_: True,
-        clock,
-        2.0,
-        CrashEvidence(),
-    )
+def announced(address: tuple[str, int], instance: Instance) -> LocalUpstream:
+    local = make_local(address)
     beat = Heartbeat(instance, "s", address, 4, False, 0.0, 1)
-    local.on_heartbeat(beat, clock.now())
+    local.on_heartbeat(beat, local.clock.now())
     return local
 
 
@@ -395,8 +390,8 @@
             listening = await asyncio.start_server(one.handle, UPSTREAM_ADDRESS, 0)
             stack.callback(listening.close)
             ports.append(listening.sockets[0].getsockname()[1])
-        local = make_local((UPSTREAM_ADDRESS, ports[0]), FIRST)
-        other = make_local((UPSTREAM_ADDRESS, ports[1]), SECOND)
+        local = announced((UPSTREAM_ADDRESS, ports[0]), FIRST)
+        other = announced((UPSTREAM_ADDRESS, ports[1]), SECOND)
         stack.callback(local.pool.close)
         stack.callback(other.pool.close)
         clock = BootClock()
--- a/tests/gateway/test_local_upstream.py
+++ b/tests/gateway/test_local_upstream.py
@@ -4,19 +4,14 @@
 
 import pytest
 
-from sassafraswharf.clock import BootClock
 from sassafraswharf.fleet.values import Instance
 from sassafraswharf.fleet.values import Upstream
-from sassafraswharf.gateway.crash_evidence import CrashEvidence
 from sassafraswharf.gateway.heartbeat import Heartbeat
-from sassafraswharf.gateway.key_holds import KeyHolds
-from sassafraswharf.gateway.local_upstream import LocalUpstream
-from sassafraswharf.platform.names import HEADER_NAMES
+from tests.gateway.local_upstreams import make_local
 
 
 SELF = Instance("i-1", 7)
 ADDRESS = ("10.0.0.1", 80)
-DRAIN_S = 2.0
 
 
 def beat(sequence: int, *, draining: bool = False) -> Heartbeat:
@@ -27,22 +22,9 @@
     return Upstream(SELF, "diary", "side-1", "10.0.0.1", "dub-a", 10, draining)
 
 
-def make_local() -> LocalUpstream:
-    holds = KeyHolds(0.0, 4.5, 2.5)
-    return LocalUpstream(
-        ADDRESS,
-        HEADER_NAMES,
-        holds,
-        lambda *_: True,
-        BootClock(),
-        DRAIN_S,
-        CrashEvidence(),
-    )
-
-
 def test_a_draining_upstream_takes_requests_for_a_while_only() -> None:
     """Guards against requests that reach an upstream after its drain."""
-    local = make_local()
+    local = make_local(ADDRESS)
     local.on_heartbeat(beat(1), 10.0)
     local.on_heartbeat(beat(2, draining=True), 10.5)
     assert local.is_open(11.0)
@@ -57,7 +39,7 @@
     The process that acknowledged it has ended; its successor can't know when.
     Seen once in a hunt: draiocht-desk, trouble-2 --seed 377212238955, DRAIN 10.
     """
-    local = make_local()
+    local = make_local(ADDRESS)
     if is_adopted:
         local.adopt(upstream(draining=False), 20.0)
     local.on_heartbeat(beat(9, draining=True), 20.1)
@@ -66,7 +48,7 @@
 
 def test_an_upstream_that_has_left_stays_so_for_a_restarted_router() -> None:
     """Guards against a heartbeat that reopens an upstream which has left."""
-    local = make_local()
+    local = make_local(ADDRESS)
     local.on_heartbeat(beat(9), 20.0)
     local.on_fleet_drain(SELF, 20.1)
     local.on_heartbeat(beat(10), 20.2)
@@ -77,7 +59,7 @@
 
 def test_an_adopted_upstream_serves_before_its_heartbeat() -> None:
     """Guards against keys that nobody serves until a heartbeat after a restart."""
-    local = make_local()
+    local = make_local(ADDRESS)
     local.adopt(upstream(draining=False), 20.0)
     assert local.is_open(20.0)
     assert local.is_adopted
--- a/tests/gateway/test_time_left.py
+++ b/tests/gateway/test_time_left.py
@@ -16,17 +16,15 @@
 
 from sassafraswharf.clock import BootClock
 from sassafraswharf.fleet.values import Instance
-from sassafraswharf.gateway.crash_evidence import CrashEvidence
 from sassafraswharf.gateway.heartbeat import Heartbeat
 from sassafraswharf.gateway.hop_codec import decode_hop
 from sassafraswharf.gateway.hop_codec import encode_hop
-from sassafraswharf.gateway.key_holds import KeyHolds
-from sassafraswharf.gateway.local_upstream import LocalUpstream
 from sassafraswharf.gateway.work import Terms
 from sassafraswharf.gateway.work import Work
 from sassafraswharf.platform.documents import decode_replacement
 from sassafraswharf.platform.names import HEADER_NAMES
 from sassafraswharf.router.http_server import HttpServer
+from tests.gateway.local_upstreams import make_local
 from tests.gateway.test_ingress import Hops
 from tests.gateway.test_ingress import make_ingress
 
@@ -65,15 +63,7 @@
         async with TestServer(application, host="127.0.0.1") as server:
             clock = BootClock()
             address = ("127.0.0.1", server.port or 0)
-            local = LocalUpstream(
-                address,
-                HEADER_NAMES,
-                KeyHolds(0.0, 4.5, 2.5),
-                lambda *_: True,
-                clock,
-                2.0,
-                CrashEvidence(),
-            )
+            local = make_local(address, clock=clock)
             beat = Heartbeat(SELF, "diary", address, 1, False, 0.0, 1)
             local.on_heartbeat(beat, clock.now())
             requests = [
