Write the configurations of gateway tests in one place

Four modules repeated a route document; tests/gateway/plans.py builds it from how the route differs.

--- a/tests/gateway/test_caller_limits.py
+++ b/tests/gateway/test_caller_limits.py
@@ -5,7 +5,6 @@
 import asyncio
 import random
 
-import msgspec
 import pytest
 
 from aiohttp import web
@@ -16,8 +15,8 @@
 from sassafraswharf.gateway.heartbeat import Heartbeat
 from sassafraswharf.gateway.hop_client import HopClient
 from sassafraswharf.gateway.upstream_choice import FleetChoice
-from sassafraswharf.platform.documents import decode_replacement
 from sassafraswharf.router.http_server import HttpServer
+from tests.gateway.plans import first_plan
 from tests.gateway.test_planned_stop import LOOPBACK
 from tests.gateway.test_planned_stop import SELF
 from tests.gateway.test_planned_stop import free_port
@@ -25,30 +24,15 @@
 from tests.gateway.test_planned_stop import work
 
 
-DOCUMENT = {
-    "version": "00000001",
-    "baseVersion": "00000000",
-    "routes": [
-        {
-            "name": "lookup",
-            "host": "a.example",
-            "pathPrefix": "/",
-            "routeType": "idempotent",
-            "service": "diary",
-            "timeout": "1500ms",
-            "targetLatency": "500ms",
-            "priority": 1,
-            "attempts": 2,
-        }
-    ],
-    "services": [{"name": "diary", "healthPath": "/healthz"}],
-    "limits": {
+PLAN = first_plan(
+    {"service": "diary"},
+    limits={
         "maxHeaderBytes": 131_072,
         "maxBodyBytes": 1_048_576,
         "headerTimeout": "3000ms",
         "idleTimeout": "15000ms",
     },
-}
+)
 FOLLOW_S = 0.3
 
 
@@ -90,8 +74,7 @@
         await router.start(caller_address)
         upstream = Upstream(SELF, "diary", "h", LOOPBACK, "a", 100, False)
         router.view.fleet.apply(1, FleetChange((upstream,), (), ()))
-        change = decode_replacement(msgspec.json.encode(DOCUMENT)).unwrap()
-        router.view.take_plan([change])
+        router.view.take_plan([PLAN])
         await asyncio.sleep(FOLLOW_S)
         try:
             reader, writer = await asyncio.open_connection(*caller_address)
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -17,7 +17,6 @@
 from typing import Final
 from typing import NamedTuple
 
-import msgspec
 import pytest
 
 from aiohttp import http_parser
@@ -43,10 +42,10 @@
 from sassafraswharf.gateway.upstream_choice import FleetChoice
 from sassafraswharf.observability.decision_log import DecisionLog
 from sassafraswharf.platform.documents import DocumentReader
-from sassafraswharf.platform.documents import decode_replacement
 from sassafraswharf.platform.names import HEADER_NAMES
 from sassafraswharf.router.http_server import HttpServer
 from tests.gateway.local_upstreams import make_local
+from tests.gateway.plans import first_plan
 
 
 if TYPE_CHECKING:
@@ -345,26 +344,9 @@
 
 
 def make_view(timeout_ms: int, upstreams: tuple[Upstream, ...]) -> FleetView:
-    document = {
-        "version": "00000001",
-        "baseVersion": "00000000",
-        "routes": [
-            {
-                "name": "lookup",
-                "host": "a.example",
-                "pathPrefix": "/",
-                "routeType": "idempotent",
-                "service": "s",
-                "timeout": f"{timeout_ms}ms",
-                "targetLatency": "100ms",
-                "priority": 1,
-                "attempts": 2,
-            }
-        ],
-        "services": [{"name": "s", "healthPath": "/healthz"}],
-    }
+    plan = first_plan({"timeout": f"{timeout_ms}ms", "targetLatency": "100ms"})
     view = FleetView(DocumentReader(), DecisionLog("h", -1))
-    view.take_plan([decode_replacement(msgspec.json.encode(document)).unwrap()])
+    view.take_plan([plan])
     view.fleet.apply(5, FleetChange(upstreams, (), ()))
     return view
 
--- a/tests/gateway/test_request_reader.py
+++ b/tests/gateway/test_request_reader.py
@@ -7,14 +7,13 @@
 
 from typing import TYPE_CHECKING
 
-import msgspec
 import pytest
 
 from result import Ok
 
 from sassafraswharf.gateway.work import Answer
-from sassafraswharf.platform.documents import decode_replacement
 from sassafraswharf.router.http_server import HttpServer
+from tests.gateway.plans import first_plan
 from tests.gateway.test_ingress import Hops
 from tests.gateway.test_ingress import make_ingress
 
@@ -26,23 +25,10 @@
 
 
 LOOPBACK = "127.0.0.1"
-ROUTE = {
-    "name": "lookup",
-    "host": "a.example",
-    "pathPrefix": "/p/",
-    "routeType": "idempotent",
-    "service": "s",
-    "timeout": "1500ms",
-    "targetLatency": "500ms",
-    "priority": 1,
-    "attempts": 2,
-}
-DOCUMENT = {
-    "version": "00000001",
-    "baseVersion": "00000000",
-    "routes": [ROUTE, {**ROUTE, "name": "upper", "host": "Upper.Example"}],
-    "services": [{"name": "s", "healthPath": "/healthz"}],
-}
+PLAN = first_plan(
+    {"pathPrefix": "/p/"},
+    {"pathPrefix": "/p/", "name": "upper", "host": "Upper.Example"},
+)
 WAIT_S = 5.0
 
 
@@ -72,7 +58,7 @@
     Each part but the first is sent after something came back.
     """
     ingress = make_ingress(hops)
-    ingress.view.take_plan([decode_replacement(msgspec.json.encode(DOCUMENT)).unwrap()])
+    ingress.view.take_plan([PLAN])
     ingress.view.confirm_plan(1, ingress.clock.now())
     server = HttpServer(
         ingress.handle,
--- a/tests/gateway/test_time_left.py
+++ b/tests/gateway/test_time_left.py
@@ -8,7 +8,6 @@
 from typing import TYPE_CHECKING
 
 import aiohttp
-import msgspec
 import pytest
 
 from aiohttp import web
@@ -21,10 +20,10 @@
 from sassafraswharf.gateway.hop_codec import encode_hop
 from sassafraswharf.gateway.work import Terms
 from sassafraswharf.gateway.work import Work
-from sassafraswharf.platform.documents import decode_replacement
 from sassafraswharf.platform.names import HEADER_NAMES
 from sassafraswharf.router.http_server import HttpServer
 from tests.gateway.local_upstreams import make_local
+from tests.gateway.plans import first_plan
 from tests.gateway.test_ingress import Hops
 from tests.gateway.test_ingress import make_ingress
 
@@ -96,28 +95,9 @@
 
 async def serve_without_answers(timeout_ms: int) -> tuple[HttpServer, int]:
     """Start a router whose upstreams never answer; return its server and port."""
-    document = {
-        "version": "00000001",
-        "baseVersion": "00000000",
-        "routes": [
-            {
-                "name": "lookup",
-                "host": "a.example",
-                "pathPrefix": "/",
-                "routeType": "idempotent",
-                "service": "s",
-                "timeout": f"{timeout_ms}ms",
-                "targetLatency": "100ms",
-                "priority": 1,
-                "attempts": 2,
-            }
-        ],
-        "services": [{"name": "s", "healthPath": "/healthz"}],
-    }
-
+    plan = first_plan({"timeout": f"{timeout_ms}ms", "targetLatency": "100ms"})
     ingress = make_ingress(SilentHops([]))
-    change = decode_replacement(msgspec.json.encode(document)).unwrap()
-    ingress.view.take_plan([change])
+    ingress.view.take_plan([plan])
     server = HttpServer(
         ingress.handle,
         max_body_bytes=1_000,
