--- a/tests/settings/test_node_loader.py
+++ b/tests/settings/test_node_loader.py
@@ -42,6 +42,17 @@
     assert check(str(path)) == ExitCode.DONE
 
 
+@pytest.mark.parametrize(
+    ("grants", "by_call"), [("call", True), ("heartbeat", False), (None, False)]
+)
+def test_the_settings_say_how_keys_are_granted(
+    tmp_path: Path, grants: str | None, by_call: bool
+) -> None:
+    """Guards against grants that the upstream never reads (421 for each key)."""
+    document = {**rendered(tmp_path, "side-0"), "grants": grants}
+    assert parse_node(json.dumps(document), tmp_path).unwrap().grants_by_call is by_call
+
+
 @pytest.mark.parametrize(
     ("path", "value", "named"),
     [
@@ -52,6 +63,7 @@
         (["peer_ports"], [7600], "peer_ports"),
         (["metrics_port"], 70_000, "metrics_port"),
         (["unknown"], 1, "unknown"),
+        (["grants"], "by hand", "grants"),
     ],
 )
 def test_a_refusal_names_the_field(
