Write the keys and fence of a row in one place

held_row stood in CallDelivery and again in Offer, KeyHolds.grant and the list of moving rows. It is one function of key_holds now. Behaviour as before.

Checked: formatter, linter, types on the whole tree; 80 tests of holds, calls, docstrings and one process test of called grants.

--- a/src/sassafraswharf/gateway/call_delivery.py
+++ b/src/sassafraswharf/gateway/call_delivery.py
@@ -8,15 +8,16 @@
 from typing import TYPE_CHECKING
 from typing import Final
 
-from sassafraswharf.fleet.sync import HeldRow
 from sassafraswharf.gateway.heartbeat import GrantedRow
 from sassafraswharf.gateway.hold_caller import UNANSWERED
+from sassafraswharf.gateway.key_holds import held_row
 
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from sassafraswharf.clock import Clock
+    from sassafraswharf.fleet.sync import HeldRow
     from sassafraswharf.fleet.values import Instance
     from sassafraswharf.gateway.fleet_view import FleetView
     from sassafraswharf.gateway.heartbeat import Grant
@@ -172,9 +173,7 @@
     def surplus(self, instance: Instance, wanted: list[GrantedRow]) -> list[HeldRow]:
         """Return the keys that the upstream is to give up."""
         moving = [
-            HeldRow(row.first, row.last, row.fence)
-            for row in self.view.fleet.rows_of(instance)
-            if row.is_moving
+            held_row(row) for row in self.view.fleet.rows_of(instance) if row.is_moving
         ]
         held = [
             rest
@@ -303,14 +302,10 @@
     return None
 
 
-def held_row(row: GrantedRow) -> HeldRow:
-    """Return the keys and the fence of a row."""
-    return HeldRow(row.first, row.last, row.fence)
-
-
 def without(row: HeldRow, taken: list[HeldRow | GrantedRow]) -> list[HeldRow]:
     """Return the parts of a row whose keys are in no other row.
 
+    >>> from sassafraswharf.fleet.sync import HeldRow
     >>> without(HeldRow(0, 99, 5), [HeldRow(10, 19, 7)])
     [HeldRow(first=0, last=9, fence=5), HeldRow(first=20, last=99, fence=5)]
     """
--- a/src/sassafraswharf/gateway/key_holds.py
+++ b/src/sassafraswharf/gateway/key_holds.py
@@ -48,7 +48,7 @@
     @property
     def held_row(self) -> HeldRow:
         """Return the keys as they are reported."""
-        return HeldRow(self.row.first, self.row.last, self.row.fence)
+        return held_row(self.row)
 
 
 class KeyHolds:
@@ -110,7 +110,7 @@
         self.current = dict.fromkeys(granted, arrived_at + hold_s)
         self.changed.notify()
         for row in granted:
-            self.granted[HeldRow(row.first, row.last, row.fence)] = until
+            self.granted[held_row(row)] = until
             self._forget_release(row.first, row.last)
         return Grant(granted, hold_s)
 
@@ -241,6 +241,11 @@
         self.released = {row: at for row, at in self.released.items() if at > limit}
 
 
+def held_row(row: GrantedRow | KeyRow) -> HeldRow:
+    """Return the keys and the fence of a row."""
+    return HeldRow(row.first, row.last, row.fence)
+
+
 def is_newer(beat: Heartbeat, known: Heartbeat | None) -> bool:
     """Return whether a heartbeat replaces what is known of the upstream.
 
