Refuse requests of callers that a planned stop may not finish

Cause: a stop has an end, 5.4 s after SIGTERM, but had no last moment for taking requests of callers. What arrived on kept connections until the end was passed on, and cut if it lasted longer than what was left. Late hops of other routers have been refused for the same reason since; requests of callers are now too, from the same moment, 2.6 s after SIGTERM: 503, code 3110, not run, and the connection ends. What was taken before has 2.8 s until the end.

test_a_stop_takes_no_request_that_it_cannot_finish: 4 of 8 cases failed before, none does.

--- a/src/sassafraswharf/gateway/ingress.py
+++ b/src/sassafraswharf/gateway/ingress.py
@@ -86,6 +86,10 @@
     A request that may be repeated is sent again after a failure, any other only
     while it is certain that no upstream has run it. The caller gets a status that
     promises "not run" only in that case.
+
+    While the process stops (``closing``) answers close their connections. Callers
+    use the others until the process ends, so what comes late is refused
+    (``refusing``): there may be no time left to finish it.
     """
 
     def __init__(
@@ -118,12 +122,17 @@
         self.budgets: dict[str, RepeatBudget] = {}
         self.tally = RequestTally()
         self.closing = False
+        self.refusing = False
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request of a caller."""
         # A caller counts from when it sent the request, also behind another one.
         now = self.clock.now() - waited_s(request)
         request_id = request.headers.get(self.names.request_id, "")
+        if self.refusing:
+            message = "the router is being stopped"
+            rejection = Rejection(ResultCode.SHUTTING_DOWN, message, True)
+            return self.turn_away(request, request_id, rejection, "-")
         target = self.reader.find_target(request, now)
         if isinstance(target, Rejection):
             return self.turn_away(request, request_id, target, "-")
--- a/src/sassafraswharf/gateway/router_node.py
+++ b/src/sassafraswharf/gateway/router_node.py
@@ -226,6 +226,7 @@
         self.link.report_now()
         self.log.record("stopping")
         await asyncio.sleep(min(LINGER_S, self.node.terms.grace_s / 2))
+        self.ingress.refusing = True
         self.hop_server.refusing = True
         left_s = self.node.terms.grace_s - FINISH_MARGIN_S
         left_s = max(0.0, left_s - (self.clock.now() - began))
