End a planned stop once nothing is at work

A stop waited until no request had come for 0.25 s. Other routers ask a router that is stopped for the keys that stay there every 0.12 s, and callers use the connections that they have, so it lasted until its time was over (5.4 s) although everything that came was refused; the keys of its upstream were not served meanwhile. Now it ends when nothing has been at work for one such pause, which a connection that was just accepted still needs for its first request. Requests that were taken still prolong the stop.

Ruled out: slow work (no route of the site lets a request last over 1.5 s).

--- a/src/sassafraswharf/router/http_server.py
+++ b/src/sassafraswharf/router/http_server.py
@@ -45,8 +45,8 @@
 )
 BACKLOG: Final = 1_024
 FIRST_SERVER_ERROR: Final = 500
-QUIET_S: Final = 0.25
-"""Time without a new request after which a stopping server closes its connections."""
+LAST_REQUEST_S: Final = 0.25
+"""Time in which a connection that was just accepted sends its first request."""
 POLL_TURNS: Final = 4
 """Turns of the event loop until a connection is accepted, read and handled."""
 MAX_REASON_CHARACTERS: Final = 100
@@ -341,11 +341,13 @@
         self.pre_shutdown()
 
     async def finish(self, timeout_s: float) -> bool:
-        """Stop accepting and answer requests until none comes any more.
+        """Stop accepting and answer requests until none is active.
 
         Connections stay open meanwhile: one that was just accepted sends its
         request only a round trip later, and a busy event loop reads it later
-        still. Returns False if requests were still active after ``timeout_s``.
+        still. Requests that are answered at once don't prolong the stop, since
+        callers may send them until their connections end. Returns False if
+        requests were still active after ``timeout_s``.
         """
         await self.read_arrived()
         if self.server is not None:
@@ -353,11 +355,10 @@
         loop = asyncio.get_running_loop()
         until = loop.time() + timeout_s
         while (left_s := until - loop.time()) > 0:
-            started = self.requests_count
             if not await self.drain(left_s):
                 return False
-            await asyncio.sleep(min(QUIET_S, max(0.0, until - loop.time())))
-            if not self.active and self.requests_count == started:
+            await asyncio.sleep(min(LAST_REQUEST_S, max(0.0, until - loop.time())))
+            if not self.active:
                 break
         self.pre_shutdown()
         # A request that has just been read is counted when its handler begins.
