Answer what a planned stop leaves no time for

A request that was taken in time may still wait when the grace is nearly over: for a turn at its upstream, or for an owner of its key, if its route allows it several seconds. Shortly before the end the router now refuses what waits as not run, lets no request be sent once more, and answers what is in work with 504; only the latter was in work, so callers may send the others elsewhere. Hops of other routers that wait are refused too.

A request that ran out of time between attempts, all of which promised "not run", is now called not run as well; it was called unknown.

Ruled out: refusing such requests when the linger ends, since most of them are finished in the time that is left.

--- a/src/sassafraswharf/gateway/admission_queue.py
+++ b/src/sassafraswharf/gateway/admission_queue.py
@@ -89,6 +89,11 @@
                 return True
         return False
 
+    def withdraw_all(self) -> list[T]:
+        """Remove and return every request that waits."""
+        waiting, self.waiting = self.waiting, []
+        return [entry.item for entry in waiting]
+
     def prune(self, now: float) -> list[T]:
         """Remove and return the requests that can't be answered in time."""
         refused: list[T] = []
--- a/src/sassafraswharf/gateway/ingress.py
+++ b/src/sassafraswharf/gateway/ingress.py
@@ -69,11 +69,19 @@
 class Progress:
     """How far a request has come, for the decision log and the final answer."""
 
-    __slots__ = ("attempts", "last", "stale_version", "tried", "wait_until")
+    __slots__ = (
+        "attempts",
+        "in_attempt",
+        "last",
+        "stale_version",
+        "tried",
+        "wait_until",
+    )
 
     def __init__(self) -> None:
         """Start before the first attempt."""
         self.attempts = 0
+        self.in_attempt = False
         self.tried: set[Instance] = set()
         self.last: Rejection | None = None
         self.stale_version = -1
@@ -89,7 +97,8 @@
 
     While the process stops (``closing``) answers close their connections. Callers
     use the others until the process ends, so what comes late is refused
-    (``refusing``): there may be no time left to finish it.
+    (``refusing``): there may be no time left to finish it. What was taken before
+    and is not finished gets an answer at ``give_up``.
     """
 
     def __init__(
@@ -123,6 +132,8 @@
         self.tally = RequestTally()
         self.closing = False
         self.refusing = False
+        self.gave_up = False
+        self.limits: set[asyncio.Timeout] = set()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request of a caller."""
@@ -219,11 +230,25 @@
             message = "no time is left"
             return Err(Rejection(ResultCode.DEADLINE_EXPIRED, message, True))
         try:
-            async with asyncio.timeout(left_s):
-                return await self.serve(work, route, progress)
+            async with asyncio.timeout(left_s) as limit:
+                self.limits.add(limit)
+                try:
+                    return await self.serve(work, route, progress)
+                finally:
+                    self.limits.discard(limit)
         except TimeoutError:
             return Err(self.on_timeout(progress))
 
+    def give_up(self) -> None:
+        """Let every request end with an answer now; none is sent once more.
+
+        One that no upstream has been sent is refused as not run.
+        """
+        self.gave_up = True
+        now = asyncio.get_running_loop().time()
+        for limit in self.limits:
+            limit.reschedule(now)
+
     async def serve(self, work: Work, route: Route, progress: Progress) -> Outcome:
         """Send a request until there is an answer or no way to get one."""
         budget = self.budgets.get(work.service)
@@ -283,6 +308,7 @@
     ) -> Outcome:
         """Send a request to one upstream, through its router or directly."""
         progress.attempts += 1
+        progress.in_attempt = True
         progress.tried.add(upstream.instance)
         self.choice.started(upstream)
         local = self.local
@@ -295,6 +321,7 @@
                 outcome = await self.hops.run(work, upstream)
         finally:
             self.choice.finished(upstream)
+        progress.in_attempt = False
         if isinstance(outcome, Ok):
             self.choice.on_success(upstream.instance)
             self.crashes.on_success(work, self.clock.now())
@@ -319,7 +346,7 @@
         budget: RepeatBudget,
     ) -> bool:
         """Return whether another attempt is allowed and has a chance."""
-        if work.rest is not None:
+        if work.rest is not None or self.gave_up:
             return False
         if not rejection.not_run and not work.repeatable:
             return False
@@ -344,7 +371,8 @@
 
     def on_timeout(self, progress: Progress) -> Rejection:
         """Return the rejection of a request whose time has passed."""
-        if not progress.attempts:
+        last = progress.last
+        if not progress.in_attempt and (last is None or last.not_run):
             message = "no upstream was found in time"
             return Rejection(ResultCode.NO_UPSTREAM, message, True)
         message = f"no answer in time after {progress.attempts} attempts"
--- a/src/sassafraswharf/gateway/router_node.py
+++ b/src/sassafraswharf/gateway/router_node.py
@@ -57,6 +57,8 @@
 LINGER_S: Final = 2.6
 """Callers learn within two readiness checks, one a second, that a process stops."""
 FINISH_MARGIN_S: Final = 0.6
+ANSWER_S: Final = 0.1
+"""Time in which a request that was given up at the end of a stop gets its answer."""
 
 
 class RouterNode:
@@ -228,9 +230,12 @@
         await asyncio.sleep(min(LINGER_S, self.node.terms.grace_s / 2))
         self.ingress.refusing = True
         self.hop_server.refusing = True
-        left_s = self.node.terms.grace_s - FINISH_MARGIN_S
-        left_s = max(0.0, left_s - (self.clock.now() - began))
+        end_at = began + self.node.terms.grace_s - FINISH_MARGIN_S
+        left_s = max(0.0, end_at - self.clock.now())
+        loop = asyncio.get_running_loop()
+        giving_up = loop.call_later(left_s - ANSWER_S, self.give_up)
         await asyncio.gather(self.callers.finish(left_s), self.routers.finish(left_s))
+        giving_up.cancel()
         for task in self.tasks:
             task.cancel()
         if self.delivery is not None:
@@ -241,6 +246,12 @@
         self.hops.close()
         self.log.record("stopped")
 
+    def give_up(self) -> None:
+        """Answer what the stop leaves no time for; what waits is refused as not run."""
+        if self.local is not None:
+            self.local.refuse_all(self.local.queue.withdraw_all())
+        self.ingress.give_up()
+
     def on_settings(self, node: Node) -> None:
         """Use changed settings: the seeds and the service of the upstream."""
         self.node = node
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -46,6 +46,7 @@
 GRACE_S = 4.0
 WORK_S = 0.5
 CONNECTIONS = 40
+DEADLINE_MS = 9_000
 
 
 def free_port() -> int:
@@ -166,7 +167,7 @@
         self.writer.write(
             f"{method} /x HTTP/1.1\r\nHost: a.example\r\n"
             f"{HEADER_NAMES.request_id}: {request_id}\r\n"
-            f"{HEADER_NAMES.deadline_ms}: 2500\r\n"
+            f"{HEADER_NAMES.deadline_ms}: {DEADLINE_MS}\r\n"
             f"Content-Length: {len(body)}\r\n\r\n".encode()
             + body
         )
@@ -188,8 +189,18 @@
     took_s: float
 
 
-async def send_until_stopped(method: str, work_s: float) -> StoppedRouter:
-    """Stop a router while callers use the connections that they have kept."""
+async def send_until_stopped(
+    method: str,
+    work_s: float,
+    *,
+    slots: int = 100,
+    route_limit: str = "1500ms",
+) -> StoppedRouter:
+    """Stop a router while callers use the connections that they have kept.
+
+    The upstream works on ``slots`` requests at a time, the others wait. The route
+    has the time ``route_limit``, as a configuration writes it.
+    """
     ran: list[str] = []
 
     async def serve(request: web.Request) -> web.Response:
@@ -205,7 +216,12 @@
         assert router.local is not None
         beat = Heartbeat(SELF, "diary", address, 100, False, 0.0, 1)
         router.local.on_heartbeat(beat, router.clock.now())
-        router.view.take_plan([first_plan({"service": "diary"})])
+        route = {
+            "service": "diary",
+            "timeout": route_limit,
+            "targetLatency": route_limit,
+        }
+        router.view.take_plan([first_plan(route)])
         upstream = Upstream(SELF, "diary", "side-1", LOOPBACK, "a", 100, False)
         router.view.take_fleet([(1, FleetChange((upstream,), (), ()))])
         callers = (LOOPBACK, free_port())
@@ -215,6 +231,7 @@
             for _ in range(CONNECTIONS)
         ]
         await asyncio.gather(*(one.send("warm", method) for one in kept))
+        router.local.queue.limit = slots
         ran.clear()
         loop = asyncio.get_running_loop()
         began = loop.time()
@@ -257,3 +274,30 @@
     assert {one.status for one in stopped.replies} <= {200, 503, None}
     # The linger, the last work and a pause for connections that were just accepted.
     assert stopped.took_s < GRACE_S / 2 + work_s + 2 * LAST_REQUEST_S
+
+
+@pytest.mark.parametrize(
+    "new_loop", [asyncio.new_event_loop, uvloop.new_event_loop], ids=["asyncio", "uv"]
+)
+@pytest.mark.parametrize("slots", [1, 4])
+def test_a_request_that_still_waits_at_the_end_of_a_stop_is_refused(
+    slots: int, new_loop: Callable[[], asyncio.AbstractEventLoop]
+) -> None:
+    """Guards against LOST: a long time limit and a queue that the stop outruns.
+
+    Requests that were taken in time and had not begun to run were cut with their
+    connections when the grace was over.
+    """
+    with asyncio.Runner(loop_factory=new_loop) as runner:
+        stopped = runner.run(
+            send_until_stopped("GET", 0.8, slots=slots, route_limit="9s")
+        )
+    taken = stopped.replies[: CONNECTIONS // 2]
+    assert all(one.status is not None for one in taken)
+    unanswered = {one.request_id for one in stopped.replies if one.status is None}
+    assert not unanswered & set(stopped.ran)
+    not_run = {one.request_id for one in stopped.replies if one.status == 503}
+    assert not not_run & set(stopped.ran)
+    in_work = {one.request_id for one in stopped.replies if one.status == 504}
+    assert in_work <= set(stopped.ran)
+    assert stopped.took_s < GRACE_S
