Serve the calls of an upstream while it ends the work of others

Callers saw 500 from upstreams whose router was being stopped: an upstream calls other services through the router beside it, and that one refused callers at the moment at which it refused late hops, although it still ran hops that it had taken. Callers are now refused once these are done, 0.4 s later at the latest, and the port stays open until then.

Ruled out: telling calls from requests of callers, since both come to one address and nothing names them.

test_an_upstream_finishes_the_work_of_other_routers_with_its_calls failed in the case in which the call comes after the linger (the connection was refused).

--- a/src/sassafraswharf/gateway/router_node.py
+++ b/src/sassafraswharf/gateway/router_node.py
@@ -56,6 +56,8 @@
 """A hold that is granted by a call outlasts the restart of its router."""
 LINGER_S: Final = 2.6
 """Callers learn within two readiness checks, one a second, that a process stops."""
+LAST_CALLS_S: Final = 0.4
+"""Time for which callers are served when other routers no longer are."""
 FINISH_MARGIN_S: Final = 0.6
 ANSWER_S: Final = 0.1
 """Time in which a request that was given up at the end of a stop gets its answer."""
@@ -228,8 +230,10 @@
         self.link.report_now()
         self.log.record("stopping")
         await asyncio.sleep(min(LINGER_S, self.node.terms.grace_s / 2))
-        self.ingress.refusing = True
         self.hop_server.refusing = True
+        # The upstream makes calls through this router for what it still runs.
+        await self.routers.drain(LAST_CALLS_S)
+        self.ingress.refusing = True
         end_at = began + self.node.terms.grace_s - FINISH_MARGIN_S
         left_s = max(0.0, end_at - self.clock.now())
         loop = asyncio.get_running_loop()
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -15,6 +15,7 @@
 from aiohttp import web
 from aiohttp.test_utils import TestServer
 from result import Err
+from result import Ok
 
 from sassafraswharf.clock import BootClock
 from sassafraswharf.codes import ResultCode
@@ -45,6 +46,7 @@
 LOOPBACK = "127.0.0.1"
 GRACE_S = 4.0
 WORK_S = 0.5
+DIARY = Upstream(SELF, "diary", "side-1", LOOPBACK, "a", 100, False)
 CONNECTIONS = 40
 DEADLINE_MS = 9_000
 
@@ -76,6 +78,18 @@
     return RouterNode(node, HEADER_NAMES, DocumentReader(), upstream, BootClock(), log)
 
 
+def serve_diary(
+    router: RouterNode, address: tuple[str, int], route_limit: str = "1500ms"
+) -> None:
+    """Let a router know its upstream and a route to it with a time limit."""
+    assert router.local is not None
+    beat = Heartbeat(SELF, "diary", address, 100, False, 0.0, 1)
+    router.local.on_heartbeat(beat, router.clock.now())
+    route = {"service": "diary", "timeout": route_limit, "targetLatency": route_limit}
+    router.view.take_plan([first_plan(route)])
+    router.view.take_fleet([(1, FleetChange((DIARY,), (), ()))])
+
+
 def work(now: float) -> Work:
     terms = Terms(1, False, now + 1.0, now + 3.0)
     headers = (("Host", "a.example"),)
@@ -102,19 +116,16 @@
             address = (LOOPBACK, server.port or 0)
             router = make_router(address)
             clock = router.clock
-            assert router.local is not None
-            beat = Heartbeat(SELF, "diary", address, 100, False, 0.0, 1)
-            router.local.on_heartbeat(beat, clock.now())
+            serve_diary(router, address)
             await router.start((LOOPBACK, free_port()))
             hops = HopClient(
                 router.node.first_peer_port,
                 FleetChoice("a", random.Random(1)),
                 clock,
             )
-            upstream = Upstream(SELF, "diary", "h", LOOPBACK, "a", 100, False)
 
             async def send() -> object:
-                return await hops.run(work(clock.now()), upstream)
+                return await hops.run(work(clock.now()), DIARY)
 
             await asyncio.gather(*(send() for _ in range(CONNECTIONS)))
             stopping = asyncio.create_task(router.stop())
@@ -162,10 +173,10 @@
         self.reader = reader
         self.writer = writer
 
-    async def send(self, request_id: str, method: str) -> Reply:
+    async def send(self, request_id: str, method: str, path: str = "/x") -> Reply:
         body = b"" if method == "GET" else b"booking"
         self.writer.write(
-            f"{method} /x HTTP/1.1\r\nHost: a.example\r\n"
+            f"{method} {path} HTTP/1.1\r\nHost: a.example\r\n"
             f"{HEADER_NAMES.request_id}: {request_id}\r\n"
             f"{HEADER_NAMES.deadline_ms}: {DEADLINE_MS}\r\n"
             f"Content-Length: {len(body)}\r\n\r\n".encode()
@@ -213,17 +224,7 @@
     async with TestServer(application, host=LOOPBACK) as server:
         address = (LOOPBACK, server.port or 0)
         router = make_router(address)
-        assert router.local is not None
-        beat = Heartbeat(SELF, "diary", address, 100, False, 0.0, 1)
-        router.local.on_heartbeat(beat, router.clock.now())
-        route = {
-            "service": "diary",
-            "timeout": route_limit,
-            "targetLatency": route_limit,
-        }
-        router.view.take_plan([first_plan(route)])
-        upstream = Upstream(SELF, "diary", "side-1", LOOPBACK, "a", 100, False)
-        router.view.take_fleet([(1, FleetChange((upstream,), (), ()))])
+        serve_diary(router, address, route_limit)
         callers = (LOOPBACK, free_port())
         await router.start(callers)
         kept = [
@@ -231,6 +232,7 @@
             for _ in range(CONNECTIONS)
         ]
         await asyncio.gather(*(one.send("warm", method) for one in kept))
+        assert router.local is not None
         router.local.queue.limit = slots
         ran.clear()
         loop = asyncio.get_running_loop()
@@ -301,3 +303,49 @@
     in_work = {one.request_id for one in stopped.replies if one.status == 504}
     assert in_work <= set(stopped.ran)
     assert stopped.took_s < GRACE_S
+
+
+async def call_while_stopped(sent_at_s: float, called_after_s: float) -> object:
+    """Return the outcome of a hop whose upstream calls through its own router."""
+    callers = (LOOPBACK, free_port())
+
+    async def serve(request: web.Request) -> web.Response:
+        if request.path == "/inner":
+            return web.Response(body=b"inner")
+        await asyncio.sleep(called_after_s)
+        connection = KeptConnection(*await asyncio.open_connection(*callers))
+        reply = await connection.send("inner", "GET", "/inner")
+        connection.writer.close()
+        return web.Response(status=200 if reply.status == 200 else 500)
+
+    application = web.Application()
+    application.router.add_route("*", "/{path:.*}", serve)
+    async with TestServer(application, host=LOOPBACK) as server:
+        address = (LOOPBACK, server.port or 0)
+        router = make_router(address)
+        serve_diary(router, address)
+        await router.start(callers)
+        hops = HopClient(
+            router.node.first_peer_port,
+            FleetChoice("a", random.Random(1)),
+            router.clock,
+        )
+        stopping = asyncio.create_task(router.stop())
+        await asyncio.sleep(sent_at_s)
+        outcome = await hops.run(work(router.clock.now()), DIARY)
+        await stopping
+        hops.close()
+        return outcome
+
+
+@pytest.mark.parametrize("called_after_s", [0.0, 0.3])
+def test_an_upstream_finishes_the_work_of_other_routers_with_its_calls(
+    called_after_s: float,
+) -> None:
+    """Guards against work that fails since its router refuses the upstream's calls.
+
+    A hop that is taken as the last one makes its calls when others are refused.
+    """
+    outcome = asyncio.run(call_while_stopped(GRACE_S / 2 - 0.1, called_after_s))
+    assert isinstance(outcome, Ok)
+    assert outcome.ok_value.status == 200
