Stop the timer of a head as soon as the head is whole

A kept connection could end without the answer to a request that had been passed on, on an event loop that is busy for a moment (LOST). The timer of a head ran until the handler of the request began, one to two turns of the event loop after the head had been read. When its time passed in between, the connection was closed: before the handler began, or, on uvloop, one turn after the handler had passed the request on.

The same timer also started where no head had begun. While an answer was written, or the rest of a body was read behind an early answer (a refusal, or an upstream that answers before it has read a long body), what arrived counted as the beginning of a head. The connection was closed 10 s later, although it was idle and callers use it again for up to 12 s, or with a request that waited.

The timer starts now only while a connection waits for its next request, and stops in the call that reads the end of the head.

Ruled out by the same file: requests sent ahead in one go, with long bodies or more than aiohttp queues, count as an endless head.

--- a/src/sassafraswharf/router/http_server.py
+++ b/src/sassafraswharf/router/http_server.py
@@ -130,12 +130,24 @@
         self.stop_head_timer()
         super().connection_lost(exc)
 
+    @property
+    def is_idle(self) -> bool:
+        """Return whether the next request is waited for, and nothing else."""
+        return self._waiter is not None and not self._waiter.done()
+
     def data_received(self, data: bytes) -> None:
-        """Start the timer when a new request begins on an idle connection."""
-        if self.head_timer is None and self._current_request is None:
+        """Time a request that begins on an idle connection until its head is whole.
+
+        What arrives before the last request has ended may be the rest of its body.
+        Once the head is whole, the request may reach an upstream before its handler
+        could stop the timer.
+        """
+        if self.head_timer is None and self.is_idle:
             self.start_head_timer()
         before = self.progress()
         super().data_received(data)
+        if self._request_count != before[0]:
+            self.stop_head_timer()
         loop = asyncio.get_running_loop()
         self.arrivals.extend([loop.time()] * (self._request_count - before[0]))
         if self._messages:
@@ -156,8 +168,7 @@
         For an idle connection aiohttp only ends the task that answers. The
         connection would stay open, and its next request would be read and dropped.
         """
-        waiter = self._waiter
-        is_idle = waiter is not None and not waiter.done()
+        is_idle = self.is_idle
         super().close()
         if is_idle or not self._request_count:
             self.force_close()
@@ -272,9 +283,6 @@
         """Return the handler with the accounting of active requests."""
 
         async def guarded(request: web.BaseRequest) -> web.StreamResponse:
-            protocol = request.protocol
-            if isinstance(protocol, GuardedProtocol):
-                protocol.stop_head_timer()
             if head_bytes(request) > self.max_header_bytes:
                 reason = "the head is too large"
                 self.on_malformed(reason)
--- /dev/null
+++ b/tests/router/test_kept_connections.py
@@ -0,0 +1,204 @@
+"""Connections that callers keep for many requests."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from typing import TYPE_CHECKING
+
+import pytest
+import uvloop
+
+from aiohttp import web
+
+from sassafraswharf.router.http_server import HttpServer
+
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+    NewLoop = Callable[[], asyncio.AbstractEventLoop]
+
+
+REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+HEAD_TIMEOUT_S = 0.2
+LONG_BYTES = 16_777_216
+on_both_loops = pytest.mark.parametrize(
+    "new_loop", [asyncio.new_event_loop, uvloop.new_event_loop], ids=["asyncio", "uv"]
+)
+
+
+def create_server(handler: Handler) -> HttpServer:
+    return HttpServer(
+        handler,
+        max_body_bytes=1_048_576,
+        max_header_bytes=8_192,
+        header_timeout_s=HEAD_TIMEOUT_S,
+    )
+
+
+async def answer(_request: web.BaseRequest) -> web.Response:
+    return web.Response(text="whole")
+
+
+async def use_again_after_an_early_answer(pause_s: float) -> bytes:
+    """Return the second answer on a connection whose first one came early."""
+    server = create_server(answer)
+    port = await server.start("127.0.0.1", 0)
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 8\r\n\r\nhalf")
+    await reader.readuntil(b"whole")
+    writer.write(b"half")
+    await asyncio.sleep(pause_s)
+    writer.write(REQUEST)
+    async with asyncio.timeout(5):
+        received = await reader.read(65_536)
+    writer.close()
+    await server.stop()
+    return received
+
+
+@on_both_loops
+@pytest.mark.parametrize("pause_s", [0.0, HEAD_TIMEOUT_S / 2, HEAD_TIMEOUT_S * 2])
+def test_a_connection_is_kept_after_a_body_that_came_behind_its_answer(
+    pause_s: float, new_loop: NewLoop
+) -> None:
+    """Guards against the end of a kept connection before its idle timeout (LOST).
+
+    The rest of a body was taken for the beginning of a head, whose timer closed
+    the connection later, whatever was going on there.
+    """
+    with asyncio.Runner(loop_factory=new_loop) as runner:
+        received = runner.run(use_again_after_an_early_answer(pause_s))
+    assert received.endswith(b"whole")
+
+
+async def send_while_an_answer_is_written(requests: int) -> int:
+    """Return how many answers a caller gets that reads the first one late."""
+
+    async def handle(_request: web.BaseRequest) -> web.Response:
+        return web.Response(body=b"x" * LONG_BYTES)
+
+    server = create_server(handle)
+    port = await server.start("127.0.0.1", 0)
+    reader, writer = await asyncio.open_connection("127.0.0.1", port, limit=65_536)
+    for _ in range(requests):
+        writer.write(REQUEST)
+        await asyncio.sleep(0.02)
+    await asyncio.sleep(HEAD_TIMEOUT_S * 2)
+    received = 0
+    async with asyncio.timeout(10):
+        while received < requests * LONG_BYTES:
+            part = await reader.read(1_048_576)
+            if not part:
+                break
+            received += len(part)
+    writer.close()
+    await server.stop()
+    return received // LONG_BYTES
+
+
+@on_both_loops
+@pytest.mark.parametrize("requests", [1, 2, 3])
+def test_requests_sent_while_an_answer_is_read_slowly_are_answered(
+    requests: int, new_loop: NewLoop
+) -> None:
+    """Guards against whole requests that are dropped as if their head were slow."""
+    with asyncio.Runner(loop_factory=new_loop) as runner:
+        answers = runner.run(send_while_an_answer_is_written(requests))
+    assert answers == requests
+
+
+async def read_a_request_as_its_time_ends(turns: int) -> tuple[int, bytes]:
+    """Return how many requests were handled, and what the caller got.
+
+    The rest of the head is read, and after ``turns`` of the event loop its time has
+    passed.
+    """
+    handled = 0
+
+    async def handle(_request: web.BaseRequest) -> web.Response:
+        nonlocal handled
+        handled += 1
+        await asyncio.sleep(0.05)
+        return web.Response(text="whole")
+
+    server = create_server(handle)
+    port = await server.start("127.0.0.1", 0)
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(REQUEST + REQUEST[:10])
+    await reader.readuntil(b"whole")
+    handled = 0
+    writer.write(REQUEST[10:12])
+    await asyncio.sleep(HEAD_TIMEOUT_S / 4)
+    connection = next(iter(server.connections))
+    connection.data_received(REQUEST[12:])
+    for _ in range(turns):
+        await asyncio.sleep(0)
+    time.sleep(HEAD_TIMEOUT_S)  # noqa: ASYNC251 - the loop is to be busy
+    async with asyncio.timeout(5):
+        received = await reader.read(65_536)
+    writer.close()
+    await server.stop()
+    return handled, received
+
+
+@on_both_loops
+@pytest.mark.parametrize("turns", [0, 1, 2, 3])
+def test_a_head_that_is_whole_in_time_is_answered(
+    turns: int, new_loop: NewLoop
+) -> None:
+    """Guards against requests that are passed on and cut by the timer of their head.
+
+    The timer ran until the handler began, some turns of the event loop after the
+    head had been read.
+    """
+    with asyncio.Runner(loop_factory=new_loop) as runner:
+        handled, received = runner.run(read_a_request_as_its_time_ends(turns))
+    assert handled == 1
+    assert received.endswith(b"whole")
+
+
+async def send_in_one_go(count: int, body_bytes: int) -> int:
+    """Return how many of the requests that are sent ahead are answered."""
+
+    async def handle(request: web.BaseRequest) -> web.Response:
+        await request.read()
+        return web.Response(text="whole")
+
+    server = create_server(handle)
+    port = await server.start("127.0.0.1", 0)
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n"
+    writer.write((head % body_bytes + b"b" * body_bytes) * count)
+    received = b""
+    async with asyncio.timeout(10):
+        while received.count(b"whole") < count:
+            part = await reader.read(65_536)
+            if not part:
+                break
+            received += part
+    writer.close()
+    await server.stop()
+    return received.count(b"whole")
+
+
+@on_both_loops
+@pytest.mark.parametrize(
+    ("count", "body_bytes"),
+    [
+        pytest.param(200, 0, id="more than aiohttp queues"),
+        pytest.param(100, 5_000, id="heads and bodies in one read"),
+        pytest.param(40, 200_000, id="bodies above the read buffer"),
+    ],
+)
+def test_requests_sent_ahead_are_all_answered(
+    count: int, body_bytes: int, new_loop: NewLoop
+) -> None:
+    """Guards against bytes of waiting requests that count as an endless head."""
+    with asyncio.Runner(loop_factory=new_loop) as runner:
+        answers = runner.run(send_in_one_go(count, body_bytes))
+    assert answers == count
