Answer when the head of an upstream's answer can't be passed on

A request that was passed on ended with a closed connection and no answer, when a field of the upstream's answer held a control character. The parser of answers is lenient and lets all of them pass but NUL, CR and LF; aiohttp's writer refuses them after the handler has returned, where an error closes the connection.

Such an answer is malformed now, as one with a NUL was before: the caller gets 502, and a request that may be repeated is sent elsewhere.

Bytes above 0x7f, folded fields and tabs were answered before and are. Whether the provider's endpoints ever send such a field isn't known.

--- a/src/sassafraswharf/gateway/http_connection.py
+++ b/src/sassafraswharf/gateway/http_connection.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import re
 import socket
 
 from typing import TYPE_CHECKING
@@ -38,6 +39,9 @@
 interim answers, answers to other requests, chunk extensions and trailers. aiohttp
 bounds one field and their number, together 8 MB, but neither blank lines, spaces,
 interim answers nor chunk extensions. A stream buffers as much before it pauses."""
+CONTROL_CHARACTER: Final = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
+"""The parser of answers lets most of them pass in a field, where the writer refuses
+them: the caller's connection would be closed without an answer."""
 PARSE_STEP_BYTES: Final = 16_384
 """Parsed at a time, so that few of many small messages in one read are in memory."""
 
@@ -251,6 +255,9 @@
         if waiter is None or waiter.done() or echoed != self.identity:
             self.condemned = True
             return
+        if any(CONTROL_CHARACTER.search(value) for _, value in message.raw_headers):
+            self.fail("the answer is malformed: a control character in its head")
+            return
         if message.should_close:
             self.condemned = True
         self.content = content
