--- a/src/sassafraswharf/platform/main.py
+++ b/src/sassafraswharf/platform/main.py
@@ -83,7 +83,6 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: None)
     log = DecisionLog(node.host, STANDARD_OUTPUT)
     log.start()
     log.record("start", address=node.address, first_start=node.first_start)
