Follow the settings after a file that was read half-written

A router that read its settings while they were written never looked at them again: its service, which callers' requests bear, and its seeds stayed as they were. Text that is no JSON is tried as JSON with comments, whose library is in requirements-dev.txt and not among what is installed on the provider's machines; the import error ended the task that follows the settings, without a line in the log. At a start the same file ended the process with a traceback.

Without the library such a text is refused like any other; the earlier settings stay and the file is read again a second later.

Whether the provider's file can be read half-written isn't known.

--- a/src/sassafraswharf/settings/document.py
+++ b/src/sassafraswharf/settings/document.py
@@ -24,8 +24,10 @@
 
 
 def _parse_json5(text: str) -> Result[object, str]:
-    import json5  # loaded only for files that need it
-
+    try:
+        import json5  # loaded only for files that need it
+    except ImportError:
+        return Err("no JSON, and json5 is not installed")
     try:
         return Ok(json5.loads(text, allow_duplicate_keys=False))
     except RecursionError:
--- /dev/null
+++ b/tests/platform/test_settings_watch.py
@@ -0,0 +1,84 @@
+"""Settings that change while a process runs."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from sassafraswharf.observability.decision_log import DecisionLog
+from sassafraswharf.platform import main
+from sassafraswharf.platform import names
+from sassafraswharf.settings.node_loader import load_node
+from tests.settings.test_node_loader import rendered
+
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from sassafraswharf.settings.node_schema import Node
+
+
+CHECK_S = 0.02
+HOST = "side-0"
+
+
+def put(path: Path, content: bytes | None) -> None:
+    if content is None:
+        path.unlink()
+    else:
+        path.write_bytes(content)
+
+
+async def change(path: Path, contents: list[bytes | None]) -> list[Node]:
+    """Return the settings that are taken while a file gets one content by one."""
+    taken: list[Node] = []
+    node = load_node(path).unwrap()
+    log = DecisionLog(HOST, -1)
+    watching = asyncio.create_task(main.watch_settings(node, log, taken.append))
+    for content in contents:
+        put(path, content)
+        await asyncio.sleep(5 * CHECK_S)
+    watching.cancel()
+    await asyncio.wait([watching])
+    return taken
+
+
+@pytest.mark.parametrize("has_json5", [True, False])
+@pytest.mark.parametrize(
+    "broken",
+    [
+        pytest.param([b'{"host": "sid'], id="half"),
+        pytest.param([b""], id="empty"),
+        pytest.param([b"\xff\xfe"], id="no text"),
+        pytest.param([b"[]", b"{}"], id="other values"),
+        pytest.param([None], id="no file"),
+        pytest.param([b'{"host"', None, b"{", b"null"], id="several"),
+    ],
+)
+def test_settings_that_were_broken_for_a_moment_are_followed_again(
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
+    broken: list[bytes | None],
+    has_json5: bool,
+) -> None:
+    """Guards against a router that never learns its new service and seeds.
+
+    A file that is read while it is written is no JSON; the library for JSON with
+    comments, which is tried then, isn't installed on the provider's machines.
+    """
+    monkeypatch.setattr(main, "SETTINGS_CHECK_S", CHECK_S)
+    path = tmp_path / "settings.json"
+    monkeypatch.setenv(names.SETTINGS_VARIABLE, str(path))
+    if not has_json5:
+        monkeypatch.setitem(sys.modules, "json5", None)
+    document = rendered(tmp_path, HOST)
+    path.write_text(json.dumps(document))
+    document["upstream"]["service"] = "booking"
+    changed = json.dumps(document).encode()
+    taken = asyncio.run(change(path, [*broken, changed]))
+    assert [one.upstream and one.upstream["service"] for one in taken] == ["booking"]
