Open the files of a replica again after a refused write

Cause: when a write or sync of the log was refused, for example because the disk was full, GroupTask halted the replica and nothing ended that state before a restart of the process. The process of a control host goes on, so the group lost a voter for good, though the host looks healthy. The losses that are tolerated are then too many: with one of five voters halted and two disks lost, no quorum is left, and what was acknowledged can't be read back.

Now the task reads the files again every 0.5 s, and goes on with a new replica once the folder also takes a write. The state machine is kept: what it applied is committed, and entries that it has are not applied a second time.

Seen: test_replica_returns_when_its_disk_takes_writes_again failed before the change for the leader and for a follower (no leader within 6 s after another voter of three had stopped), and passes after it. test_failed_disk_makes_the_leader_step_down is unchanged and passes.

LogFile.rewrite opens the new file before it closes the old one, and ReplicaStorage.close forgets a file before it closes it, so that a failure in between doesn't stop the next attempt.

--- a/src/sassafraswharf/consensus/disk_queue.py
+++ b/src/sassafraswharf/consensus/disk_queue.py
@@ -63,6 +63,17 @@
         loop = asyncio.get_running_loop()
         return await loop.run_in_executor(self.worker, self.storage.open)
 
+    async def reopen(self) -> Stored:
+        """Read the files again after a failure, once they can be written.
+
+        Raises ``OSError`` or ``StorageError``. Nothing that was queued before the
+        failure is kept.
+        """
+        self.discard()
+        self.saved = None
+        loop = asyncio.get_running_loop()
+        return await loop.run_in_executor(self.worker, self.storage.reopen)
+
     def add(self, action: DiskAction) -> None:
         """Queue an action."""
         self.pending.append(action)
--- a/src/sassafraswharf/consensus/group_task.py
+++ b/src/sassafraswharf/consensus/group_task.py
@@ -24,15 +24,17 @@
 from sassafraswharf.consensus.disk_queue import DiskQueue
 from sassafraswharf.consensus.entry import EntryKind
 from sassafraswharf.consensus.entry import Snapshot
+from sassafraswharf.consensus.group_view import GroupView
 from sassafraswharf.consensus.messages import ConsensusMessage
 from sassafraswharf.consensus.proposals import Proposal
 from sassafraswharf.consensus.proposals import Proposals
 from sassafraswharf.consensus.replica import Replica
 from sassafraswharf.consensus.storage import ReplicaStorage
+from sassafraswharf.consensus.timing import NEVER
 from sassafraswharf.consensus.voters import VoterChange
-from sassafraswharf.consensus.voters import Voters
 from sassafraswharf.consensus.voters import decode_voters
 from sassafraswharf.consensus.voters import host_name
+from sassafraswharf.exceptions import StorageError
 from sassafraswharf.failure import Failure
 
 
@@ -47,7 +49,9 @@
     from sassafraswharf.consensus.core import MembershipPolicy
     from sassafraswharf.consensus.entry import Entry
     from sassafraswharf.consensus.state_machine import StateMachine
+    from sassafraswharf.consensus.storage import Stored
     from sassafraswharf.consensus.timing import ReplicaTiming
+    from sassafraswharf.consensus.voters import Voters
     from sassafraswharf.identifiers import GroupId
     from sassafraswharf.identifiers import ReplicaId
 
@@ -56,6 +60,8 @@
 # Messages beyond this are dropped, as by a network; senders repeat them.
 INBOX_MESSAGES = 4_096
 TRANSFER_POLL_S = 0.005
+# Between a failure of the disk and the attempts to use it again.
+REOPEN_S = 0.5
 
 
 def ignore_role_change(is_leader: bool, term: int) -> None:
@@ -63,7 +69,7 @@
     del is_leader, term
 
 
-class GroupTask:
+class GroupTask(GroupView):
     """One group on one host.
 
     ``voters`` names the hosts that found the group. ``self_id`` is the name of
@@ -92,14 +98,13 @@
         self.machine = machine
         self.names = [host_name(voter) for voter in voters]
         self.transmit = send
-        self.clock = clock
+        super().__init__(clock)
         self.rng = rng
         self.timing = timing
         self.on_role_change: Callable[[bool, int], None] = ignore_role_change
-        self.is_leader = False
         self.applied_index = 0
         self.failure: Failure | None = None
-        self.replica: Replica | None = None
+        self.reopen_at = NEVER
         self.inbox: deque[ConsensusMessage] = deque()
         self.proposals = Proposals()
         self.wakeup = asyncio.Event()
@@ -108,33 +113,6 @@
         self.stopping = False
         self.task: asyncio.Task[None] | None = None
 
-    @property
-    def leader(self) -> ReplicaId | None:
-        """Return the identity of the leader, as far as it is known."""
-        return self.replica.leader if self.replica else None
-
-    @property
-    def identity(self) -> ReplicaId | None:
-        """Return ``<name>:<random>`` after the start."""
-        return self.replica.identity if self.replica else None
-
-    @property
-    def voters(self) -> Voters:
-        """Return the members in force."""
-        return self.replica.voters if self.replica else Voters()
-
-    @property
-    def term(self) -> int:
-        """Return the current term."""
-        return self.replica.term if self.replica else 0
-
-    def is_current_leader(self) -> bool:
-        """Return whether reads and leases of this replica are valid now."""
-        replica = self.replica
-        return bool(
-            replica and self.is_leader and replica.is_current_leader(self.clock.now())
-        )
-
     async def start(self) -> None:
         """Read the files and take part; raises ``StorageError``."""
         try:
@@ -145,17 +123,31 @@
         if stored.snapshot:
             self.machine.restore(stored.snapshot.data)
             self.applied_index = stored.snapshot.log_index
+        replica = self.create_replica(stored)
+        self.task = asyncio.create_task(self.run(replica))
+
+    def create_replica(self, stored: Stored) -> Replica:
+        """Replace the replica by one that starts from the files."""
         self.replica = Replica(
-            stored.state,
-            self.names,
-            stored.snapshot,
-            stored.entries,
-            self.timing,
-            self.rng,
-            self.clock.now(),
-            self.policy,
+            *(stored.state, self.names, stored.snapshot, stored.entries),
+            *(self.timing, self.rng, self.clock.now(), self.policy),
         )
-        self.task = asyncio.create_task(self.run(self.replica))
+        return self.replica
+
+    async def reopen(self, replica: Replica) -> Replica:
+        """Return a replica that reads the files again, if the disk works again.
+
+        The state machine is kept. What it applied is committed, so the new replica
+        can only commit the same again.
+        """
+        self.reopen_at = self.clock.now() + REOPEN_S
+        try:
+            stored = await self.disk.reopen()
+        except (OSError, StorageError) as error:
+            logging.warning("group %s: still no storage: %s", self.group, error)
+            return replica
+        self.failure = None
+        return self.create_replica(stored)
 
     async def stop(self) -> None:
         """Hand over leadership, finish disk writes and close the files."""
@@ -238,6 +230,9 @@
                 await self.wakeup.wait()
                 self.wakeup.clear()
                 timer.cancel()
+                is_due = self.failure and self.clock.now() >= self.reopen_at
+                if is_due and not self.disk.is_busy:
+                    replica = await self.reopen(replica)
         except Exception as error:
             # After a defect in the state machine the replica must not go on
             # answering heartbeats without applying.
@@ -314,8 +309,9 @@
                     if role is not Role.LEADER:
                         self.set_leader(False, term)
                 case InstallSnapshot(snapshot, _):
-                    self.machine.restore(snapshot.data)
-                    self.applied_index = snapshot.log_index
+                    if snapshot.log_index > self.applied_index:
+                        self.machine.restore(snapshot.data)
+                        self.applied_index = snapshot.log_index
                     self.proposals.skip_to(snapshot.log_index)
                     self.disk.add(action)
                 case _:
@@ -329,6 +325,8 @@
     def apply(self, replica: Replica, entries: Sequence[Entry]) -> None:
         """Apply committed entries and answer those who wait for them."""
         for entry in entries:
+            if entry.log_index <= self.applied_index:
+                continue
             answer: Any = b""
             if entry.kind is EntryKind.COMMAND:
                 answer = self.machine.apply(entry.log_index, entry.data)
@@ -355,6 +353,9 @@
         index = self.applied_index
         if index - replica.log.snapshot.log_index < SNAPSHOT_ENTRIES:
             return
+        # After a failure of the disk the log may still lack what was applied.
+        if index > replica.commit_index:
+            return
         term = replica.log.term_at(index)
         if self.disk.saved or replica.halted or term is None:
             return
@@ -385,6 +386,7 @@
         message = f"group {self.group}: {error}"
         logging.error("storage failed, stepping down: %s", message)
         self.failure = Failure(ResultCode.STORAGE_FAILED, message)
+        self.reopen_at = self.clock.now() + REOPEN_S
         self.disk.discard()
         self.execute(replica, replica.halt(self.clock.now()))
         self.disk.discard()
--- a/src/sassafraswharf/consensus/log_file.py
+++ b/src/sassafraswharf/consensus/log_file.py
@@ -153,8 +153,9 @@
         """Replace all records in one atomic step."""
         records = [encode_record(entry) for entry in entries]
         replace_file(self.path, b"".join(records))
+        replaced = os.open(self.path, os.O_RDWR | os.O_CLOEXEC)
         os.close(self.file)
-        self.file = os.open(self.path, os.O_RDWR | os.O_CLOEXEC)
+        self.file = replaced
         self.first_index = entries[0].log_index if entries else 0
         self.offsets = []
         self.size = 0
--- a/src/sassafraswharf/consensus/storage.py
+++ b/src/sassafraswharf/consensus/storage.py
@@ -81,6 +81,16 @@
             self.close()
             raise
 
+    def reopen(self) -> Stored:
+        """Return what is stored after a failure, if the folder takes writes again.
+
+        Raises ``OSError`` or ``StorageError``.
+        """
+        self.close()
+        stored = self.open()
+        self.perform([PersistState(stored.state)])
+        return stored
+
     def read(self) -> Stored:
         """Lock the folder and read all files."""
         self.folder.mkdir(parents=True, exist_ok=True)
@@ -165,9 +175,9 @@
 
     def close(self) -> None:
         """Close the files and release the folder."""
-        if self.log:
-            self.log.close()
-            self.log = None
-        if self.lock is not None:
-            os.close(self.lock)
-            self.lock = None
+        log, self.log = self.log, None
+        lock, self.lock = self.lock, None
+        if log:
+            log.close()
+        if lock is not None:
+            os.close(lock)
--- a/tests/consensus/test_group_task.py
+++ b/tests/consensus/test_group_task.py
@@ -228,3 +228,39 @@
     await hosts.propose("g", b"z")
     assert commands_of(await hosts.leader())[-1] == b"z"
     await hosts.stop()
+
+
+@pytest.mark.parametrize("role", ["leader", "follower"])
+@asynchronous
+async def test_replica_returns_when_its_disk_takes_writes_again(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, role: str
+) -> None:
+    """Guards against a full disk that costs the group a voter until a restart.
+
+    A later loss of another voter, which is tolerated, would stop the group.
+    """
+    hosts = Hosts(tmp_path, "g")
+    await hosts.start()
+    leader = await hosts.leader()
+    full = next(
+        one for one in hosts.members("g") if (one is leader) == (role == "leader")
+    )
+    perform = ReplicaStorage.perform
+    is_full = True
+
+    def fail(self: ReplicaStorage, actions: Any) -> None:
+        if is_full and self.name == full.name:
+            raise OSError(errno.ENOSPC, "injected")
+        perform(self, actions)
+
+    monkeypatch.setattr(ReplicaStorage, "perform", fail)
+    await leader.propose(b"x", TIMEOUT_S)
+    await until(lambda: full.failure is not None)
+    await hosts.propose("g", b"y")
+    is_full = False
+    other = next(one for one in hosts.members("g") if one is not full)
+    await hosts.tasks.pop(("g", other.name)).stop()
+    await hosts.propose("g", b"z")
+    await until(lambda: commands_of(full)[-1] == b"z")
+    assert commands_of(full) == commands_of(await hosts.leader())
+    await hosts.stop()
