Sync the files of a replica before it answers for them

Cause: when a process is killed between a write and its sync, the write stays in the file without being durable. The next process read it, took it as persisted and acknowledged it to the leader without a sync, unless something was appended later. A power loss then took back an entry that had been counted for a quorum.

The log and the folder are synced whenever they are opened, before anything that was read is used.

--- a/src/sassafraswharf/consensus/log_file.py
+++ b/src/sassafraswharf/consensus/log_file.py
@@ -114,7 +114,9 @@
         self.file = os.open(path, os.O_RDWR | os.O_CLOEXEC)
         if path.stat().st_size != self.size:
             os.ftruncate(self.file, self.size)
-            self.sync()
+        # A process that was killed may have left writes that are not yet synced.
+        # What is read here is acknowledged to a leader.
+        self.sync()
 
     def append(self, entries: Sequence[Entry]) -> None:
         """Write entries that continue the log."""
--- a/src/sassafraswharf/consensus/storage.py
+++ b/src/sassafraswharf/consensus/storage.py
@@ -112,6 +112,9 @@
         if entries and entries[-1].log_index <= covered:
             self.log.rewrite(())
             entries = ()
+        # A process that was killed may have left names that are not yet durable.
+        sync_folder(self.folder)
+        sync_folder(self.folder.parent)
         return Stored(state, snapshot, entries)
 
     def read_state(self) -> HardState:
@@ -138,7 +141,6 @@
         identity = ReplicaId(f"{self.name}:{secrets.token_hex(IDENTITY_BYTES)}")
         state = HardState(identity)
         self.write_state(state)
-        sync_folder(self.folder.parent)
         return state
 
     def mismatch(self, reason: str) -> StorageError:
