Open a log after a power loss that kept a later write only

Cause: one sync covers all writes that were pending, and a write is made for each message of the leader. A power loss may keep a later one of these writes and lose an earlier one. The log then had a gap before a valid record. That was taken for damage of synced data (5003), so the process of the control host ended at every start and the group had lost the voter for good. Where two disks are lost while all others lose power, three of five voters are left and all are needed, so one such log makes what was acknowledged unreadable.

A record now tells whether it was written before the one in front of it was synced. Behind an invalid record, only a record that was written after a sync shows that synced data has changed; all others are what the power loss left of the last sync and are cut off. Writing one sync's records with a single call was ruled out: that call may be torn as well.

The existing tests of damaged logs are unchanged and pass.

--- a/src/sassafraswharf/consensus/log_file.py
+++ b/src/sassafraswharf/consensus/log_file.py
@@ -1,7 +1,8 @@
 """The file of a replica's log.
 
 A record consists of length of the data, CRC-32 of everything else, term, index,
-kind and data. Records follow each other without gaps.
+kind and data. Records follow each other without gaps. A bit of the kind tells that
+the record was written before the one in front of it was synced.
 """
 
 from __future__ import annotations
@@ -29,11 +30,17 @@
 FIELDS = struct.Struct(">QQB")
 HEADER_BYTES = LENGTH_AND_CRC.size + FIELDS.size
 LAST_KIND = max(EntryKind)
+CONTINUES = 0x80
+KIND_OFFSET = HEADER_BYTES - 1
 
 
-def encode_record(entry: Entry) -> bytes:
-    """Return the record of an entry."""
-    content = FIELDS.pack(entry.term, entry.log_index, entry.kind) + entry.data
+def encode_record(entry: Entry, *, continues: bool = False) -> bytes:
+    """Return the record of an entry.
+
+    ``continues`` says that the record before it is not yet synced.
+    """
+    kind = entry.kind | CONTINUES if continues else entry.kind
+    content = FIELDS.pack(entry.term, entry.log_index, kind) + entry.data
     length = len(entry.data)
     crc = zlib.crc32(content, length)
     return LENGTH_AND_CRC.pack(length, crc) + content
@@ -49,6 +56,7 @@
     if end > len(data):
         return None
     term, index, kind = FIELDS.unpack_from(data, start)
+    kind &= ~CONTINUES
     if kind > LAST_KIND or zlib.crc32(data[start:end], length) != crc:
         return None
     body = bytes(data[offset + HEADER_BYTES : end])
@@ -58,10 +66,12 @@
 def read_records(content: bytes) -> tuple[list[Entry], int]:
     """Return the entries and the length of the valid part.
 
-    Only the tail may be invalid, because a crash can cut the last writes short.
-    A valid record after an invalid one means that synced data has changed, which
-    raises ``StorageError`` with 5003. Damage that affects only the last record
-    can't be told from a write cut short.
+    Only the tail may be invalid, because a power loss leaves a part of the last
+    writes: each of those since the last sync may be there, missing or cut short.
+    A valid record that was written after a sync of an invalid one means that synced
+    data has changed, which raises ``StorageError`` with 5003. Damage that affects
+    only the last records, those of one sync, can't be told from writes that were
+    lost.
     """
     entries: list[Entry] = []
     view = memoryview(content)
@@ -84,10 +94,12 @@
 
 
 def refuse_later_record(view: memoryview, offset: int, entries: list[Entry]) -> None:
-    """Raise 5003 if a valid record that continues the log follows ``offset``."""
+    """Raise 5003 if the record at ``offset`` was synced before a later one."""
     lowest = entries[-1].log_index + 1 if entries else 1
     lowest_term = entries[-1].term if entries else 0
     for later in range(offset + 1, len(view) - HEADER_BYTES + 1):
+        if view[later + KIND_OFFSET] & CONTINUES:
+            continue
         entry = decode_record(view, later)
         if entry and entry.log_index >= lowest and entry.term >= lowest_term:
             raise corrupt(offset, f"but record {entry.log_index} at {later} is valid")
@@ -112,6 +124,7 @@
             self.offsets.append(offset)
             offset += HEADER_BYTES + len(entry.data)
         self.file = os.open(path, os.O_RDWR | os.O_CLOEXEC)
+        self.is_synced = True
         if path.stat().st_size != self.size:
             os.ftruncate(self.file, self.size)
         # A process that was killed may have left writes that are not yet synced.
@@ -120,9 +133,13 @@
 
     def append(self, entries: Sequence[Entry]) -> None:
         """Write entries that continue the log."""
-        records = [encode_record(entry) for entry in entries]
+        records = [
+            encode_record(entry, continues=bool(position) or not self.is_synced)
+            for position, entry in enumerate(entries)
+        ]
         if not self.offsets:
             self.first_index = entries[0].log_index
+        self.is_synced = False
         self.write(b"".join(records))
         for record in records:
             self.offsets.append(self.size)
@@ -158,6 +175,7 @@
         replaced = os.open(self.path, os.O_RDWR | os.O_CLOEXEC)
         os.close(self.file)
         self.file = replaced
+        self.is_synced = True
         self.first_index = entries[0].log_index if entries else 0
         self.offsets = []
         self.size = 0
@@ -168,6 +186,7 @@
     def sync(self) -> None:
         """Make all writes durable."""
         os.fdatasync(self.file)
+        self.is_synced = True
 
     def close(self) -> None:
         """Close the file."""
--- a/tests/consensus/test_damage.py
+++ b/tests/consensus/test_damage.py
@@ -80,6 +80,28 @@
         assert read_log(tmp_path / "log", flipped(content, offset)) == expected
 
 
+def test_log_byte_flip_among_the_records_of_syncs(tmp_path: Path) -> None:
+    """Guards against refusing a log whose last sync a power loss has cut off.
+
+    Of the writes since the last sync a later one may be there without an earlier
+    one. Damage in an earlier sync is refused.
+    """
+    path = tmp_path / "log"
+    path.touch()
+    log = LogFile(path)
+    for synced in (ENTRIES[:2], ENTRIES[2:4], ENTRIES[4:]):
+        for entry in synced:
+            log.append([entry])
+        log.sync()
+    log.close()
+    content = path.read_bytes()
+    ends = [sum(map(len, RECORDS[:count])) for count in range(len(RECORDS) + 1)]
+    for offset in range(len(content)):
+        whole = max(count for count, end in enumerate(ends) if end <= offset)
+        expected = ResultCode.LOG_CORRUPT if whole < 4 else ENTRIES[:whole]
+        assert read_log(path, flipped(content, offset)) == expected
+
+
 @pytest.mark.parametrize("body", BODIES, ids=lambda one: type(one).__name__)
 def test_damaged_message_never_raises(body: messages.Body) -> None:
     """Guards against a peer that stops the receiver with bad bytes."""
