--- a/tests/consensus/simulation.py
+++ b/tests/consensus/simulation.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from sassafraswharf.consensus import actions
+from sassafraswharf.consensus.core import MembershipPolicy
 from sassafraswharf.consensus.entry import Entry
 from sassafraswharf.consensus.entry import EntryKind
 from sassafraswharf.consensus.entry import Snapshot
@@ -93,13 +94,17 @@
         count: int,
         seed: int,
         *,
+        founders: int = 0,
+        target_voters: int = 0,
         founded: bool = False,
         sends_early: bool = False,
         keeps_identity: bool = False,
     ) -> None:
         self.rng = random.Random(seed)
         self.now = 100.0
-        self.names = "abcde"[:count]
+        self.names = "abcdefgh"[:count]
+        self.founders = self.names[: founders or count]
+        self.target_voters = target_voters
         self.sends_early = sends_early
         self.keeps_identity = keeps_identity
         self.network: list[tuple[str, actions.SendMessage, ReplicaId]] = []
@@ -110,9 +115,9 @@
         self.committed: dict[int, Entry] = {}
         self.hosts = {
             name: Host(name, Disk(actions.HardState(ReplicaId(f"{name}:0"))), rate)
-            for name, rate in zip(self.names, CLOCK_RATES * 2, strict=False)
+            for name, rate in zip(self.names, CLOCK_RATES * 3, strict=False)
         }
-        self.founding = Voters(tuple(ReplicaId(f"{name}:0") for name in self.names))
+        self.founding = Voters(tuple(ReplicaId(f"{one}:0") for one in self.founders))
         for host in self.hosts.values():
             if founded:
                 host.disk.state = host.disk.state._replace(founding=self.founding)
@@ -127,8 +132,11 @@
         if disk.snapshot:
             host.commands = msgspec.msgpack.decode(disk.snapshot.data)
         timing, rng = ReplicaTiming(), random.Random(self.rng.random())
-        stored = (disk.state, self.names, disk.snapshot, tuple(disk.entries))
-        host.replica = Replica(*stored, timing, rng, self.clock(host))
+        stored = (disk.state, self.founders, disk.snapshot, tuple(disk.entries))
+        # Without a target, as in tests of the group alone, each host may found.
+        may_found = not self.target_voters or name not in self.losses
+        policy = MembershipPolicy(may_found, self.target_voters)
+        host.replica = Replica(*stored, timing, rng, self.clock(host), policy)
 
     def crash(self, name: str) -> None:
         host = self.hosts[name]
