Send requests over a connection in one place

The hop client and the local upstream wrote a request and chose the way to read its answer with the same lines. What a send needs beside the head, its body and its identity then has to be told in both.

--- a/src/sassafraswharf/gateway/hop_client.py
+++ b/src/sassafraswharf/gateway/hop_client.py
@@ -18,7 +18,6 @@
 from sassafraswharf.gateway.hop_codec import encode_hop
 from sassafraswharf.gateway.long_answer import LongAnswer
 from sassafraswharf.gateway.message_text import read_body
-from sassafraswharf.gateway.message_text import request_head
 from sassafraswharf.gateway.message_text import response_headers
 from sassafraswharf.gateway.responses import CALLER_FAULTS
 from sassafraswharf.gateway.work import Answer
@@ -89,14 +88,7 @@
     ) -> Outcome:
         """Run one exchange with another router."""
         hop = encode_hop(work, upstream.instance, self.clock.now())
-        head = request_head(work, (*work.headers, (HOP, hop)))
-        has_body = work.method != "HEAD"
-        connection.begin(head, work.body, has_response_body=has_body)
-        response = await (
-            connection.receive()
-            if work.rest is None
-            else connection.receive_while_sending(work.rest)
-        )
+        response = await connection.run(work, (*work.headers, (HOP, hop)))
         outcome = decode_outcome(response.headers.get(OUTCOME, ""))
         if outcome is None:
             message = f"router {upstream.host}: an answer without its outcome"
--- a/src/sassafraswharf/gateway/http_connection.py
+++ b/src/sassafraswharf/gateway/http_connection.py
@@ -17,15 +17,19 @@
 
 from sassafraswharf.exceptions import ExchangeError
 from sassafraswharf.gateway.message_text import one_line
+from sassafraswharf.gateway.message_text import request_head
 
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
+    from collections.abc import Iterable
 
     from aiohttp.http_parser import RawResponseMessage
     from aiohttp.streams import StreamReader
     from multidict import CIMultiDictProxy
 
+    from sassafraswharf.gateway.work import Work
+
 
 READ_BUFFER_BYTES: Final = 65_536
 SILENT_PEER_MS: Final = 3_000
@@ -104,6 +108,17 @@
         """Return whether another request may be sent."""
         return self.transport is not None and self.is_idle and not self.condemned
 
+    async def run(
+        self, work: Work, fields: Iterable[tuple[str, str]], identity: str = ""
+    ) -> ResponseHead:
+        """Send a request with the headers ``fields``; return the response's head."""
+        head = request_head(work, fields)
+        has_body = work.method != "HEAD"
+        self.begin(head, work.body, identity, has_response_body=has_body)
+        if work.rest is None:
+            return await self.receive()
+        return await self.receive_while_sending(work.rest)
+
     def begin(
         self,
         head: bytes,
--- a/src/sassafraswharf/gateway/local_upstream.py
+++ b/src/sassafraswharf/gateway/local_upstream.py
@@ -21,7 +21,6 @@
 from sassafraswharf.gateway.heartbeat import Heartbeat
 from sassafraswharf.gateway.long_answer import LongAnswer
 from sassafraswharf.gateway.message_text import read_body
-from sassafraswharf.gateway.message_text import request_head
 from sassafraswharf.gateway.message_text import response_headers
 from sassafraswharf.gateway.upstream_load import UpstreamLoad
 from sassafraswharf.gateway.work import Answer
@@ -320,14 +319,7 @@
             (self.names.instance, instance.name),
             (self.names.origin, work.origin),
         )
-        head = request_head(work, fields)
-        has_body = work.method != "HEAD"
-        connection.begin(head, work.body, work.request_id, has_response_body=has_body)
-        response = await (
-            connection.receive()
-            if work.rest is None
-            else connection.receive_while_sending(work.rest)
-        )
+        response = await connection.run(work, fields, work.request_id)
         body, rest = await read_body(response.content)
         self.crashes.on_answer()
         if rest is not None:
