Test running requests without a key while their machine is silent

docs/proofs-platform.md had no test that such a request is neither given up nor begun again when its upstream leaves the table (end of a lease, late heartbeats, a refused connection, a drain, a later life) or its connection stays quiet. Routers of three hosts with real sockets, on both loops, asked beside the upstream and through a hop: one run, the whole answer. After a lost connection a repeatable request goes to the other upstream and any other gets 502; at the deadline both get 504.

--- /dev/null
+++ b/tests/gateway/test_silent_machines.py
@@ -0,0 +1,408 @@
+"""Running requests without a key while a machine that runs them falls silent."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+
+from typing import TYPE_CHECKING
+from typing import Final
+from typing import NamedTuple
+
+import pytest
+import uvloop
+
+from sassafraswharf.clock import BootClock
+from sassafraswharf.fleet.fleet_state import VersionedFleet
+from sassafraswharf.fleet.values import FleetChange
+from sassafraswharf.fleet.values import Instance
+from sassafraswharf.fleet.values import Upstream
+from sassafraswharf.gateway import http_connection
+from sassafraswharf.gateway.heartbeat import Heartbeat
+from sassafraswharf.gateway.router_node import RouterNode
+from sassafraswharf.observability.decision_log import DecisionLog
+from sassafraswharf.platform.documents import DocumentReader
+from sassafraswharf.platform.names import HEADER_NAMES
+from sassafraswharf.settings.node_schema import Listen
+from sassafraswharf.settings.node_schema import Node
+from sassafraswharf.settings.node_schema import Terms
+from tests.gateway.plans import first_plan
+
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+    from collections.abc import Iterator
+
+
+ASKED_SIDE: Final = "127.0.0.44"
+SILENT_SIDE: Final = "127.0.0.45"
+OTHER_SIDE: Final = "127.0.0.46"
+NOWHERE: Final = "127.0.0.47"
+SIDES: Final = (SILENT_SIDE, OTHER_SIDE)
+FIRST: Final = Instance("i-1", 7)
+OTHER: Final = Instance("i-2", 8)
+SILENT_S: Final = 0.2
+"""In the place of the 3 s after which a peer counts as silent."""
+FOLLOW_S: Final = 0.05
+"""Time for a router to follow a change of its table."""
+SMALL_WINDOW_BYTES: Final = 4_096
+ID: Final = "r-1"
+
+
+@pytest.fixture(
+    autouse=True, params=[asyncio.DefaultEventLoopPolicy, uvloop.EventLoopPolicy]
+)
+def _loops(request: pytest.FixtureRequest) -> Iterator[None]:
+    """Run on the loop of the processes too, which reports closed sockets itself."""
+    before = asyncio.get_event_loop_policy()
+    asyncio.set_event_loop_policy(request.param())
+    yield
+    asyncio.set_event_loop_policy(before)
+
+
+@pytest.fixture(autouse=True)
+def _soon_silent(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(http_connection, "SILENT_PEER_MS", int(SILENT_S * 1000))
+
+
+class StubbornUpstream:
+    """An upstream that runs each request until it is let go."""
+
+    def __init__(self, *, reads: bool = True) -> None:
+        self.reads = asyncio.Event()
+        if reads:
+            self.reads.set()
+        self.began = asyncio.Event()
+        self.let_go = asyncio.Event()
+        self.runs = 0
+        self.broken_off = 0
+        self.body = b""
+        self.writers: list[asyncio.StreamWriter] = []
+        self.address = ("", 0)
+        self.server: asyncio.Server | None = None
+
+    async def start(self, ip: str) -> None:
+        listening = socket.create_server((ip, 0))
+        if not self.reads.is_set():
+            listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2_048)
+        self.server = await asyncio.start_server(
+            self.handle, sock=listening, limit=SMALL_WINDOW_BYTES
+        )
+        self.address = listening.getsockname()[:2]
+
+    def stop_listening(self) -> None:
+        assert self.server is not None
+        self.server.close()
+
+    async def handle(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.writers.append(writer)
+        try:
+            with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+                while True:
+                    await self.answer(reader, writer)
+        finally:
+            writer.transport.abort()
+
+    async def answer(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
+        self.runs += 1
+        self.began.set()
+        await self.reads.wait()
+        try:
+            self.body = await read_body(reader, head)
+            await self.let_go.wait()
+        except (ConnectionError, asyncio.IncompleteReadError):
+            self.broken_off += 1
+            raise
+        writer.write(
+            f"HTTP/1.1 200 OK\r\n{HEADER_NAMES.request_id}: {ID}\r\n"
+            "Content-Length: 5\r\n\r\nwhole".encode()
+        )
+
+
+async def read_body(reader: asyncio.StreamReader, head: str) -> bytes:
+    if "content-length: " in head:
+        length = int(head.partition("content-length: ")[2].split()[0])
+        return await reader.readexactly(length)
+    body = b""
+    if "transfer-encoding: chunked" in head:
+        while size := int(await reader.readuntil(b"\r\n"), 16):
+            body += (await reader.readexactly(size + 2))[:-2]
+        await reader.readexactly(2)
+    return body
+
+
+def free_port() -> int:
+    with socket.create_server((NOWHERE, 0)) as server:
+        return int(server.getsockname()[1])
+
+
+def make_router(
+    ip: str, peer_port: int, upstream: tuple[str, int] | None
+) -> RouterNode:
+    """Return a router that never hears of a leader, so that it has no lease."""
+    beside = f"{upstream[0]}:{upstream[1]}" if upstream else ""
+    node = Node(
+        f"h-{ip}",
+        "a",
+        "here",
+        ip,
+        False,
+        None,
+        {"service": "s", "address": beside} if upstream else None,
+        ((NOWHERE, peer_port),),
+        peer_port,
+        peer_port,
+        Listen((ip, peer_port + 1), None, (ip, peer_port + 2)),
+        0,
+        0,
+        Terms(retry_ratio=1.0, retry_slack=64),
+    )
+    log = DecisionLog(node.host, -1)
+    return RouterNode(node, HEADER_NAMES, DocumentReader(), upstream, BootClock(), log)
+
+
+def known(instance: Instance, ip: str, **fields: bool) -> Upstream:
+    return Upstream(instance, "s", f"h-{ip}", ip, "a", 4, False)._replace(**fields)
+
+
+class Site:
+    """Routers of three hosts; the upstream of one of them runs a request."""
+
+    def __init__(self, upstreams: list[StubbornUpstream]) -> None:
+        self.upstream, self.other = upstreams
+        self.version = 0
+        port = free_port()
+        self.routers = {ASKED_SIDE: make_router(ASKED_SIDE, port, None)}
+        for ip, instance, one in zip(SIDES, (FIRST, OTHER), upstreams, strict=True):
+            router = self.routers[ip] = make_router(ip, port, one.address)
+            assert router.local is not None
+            beat = Heartbeat(instance, "s", one.address, 4, False, 0.0, 1)
+            router.local.on_heartbeat(beat, router.clock.now())
+
+    async def start(self, route_type: str) -> None:
+        for ip, router in self.routers.items():
+            await router.start((ip, router.node.first_peer_port + 1))
+            router.view.take_plan(
+                [first_plan({"routeType": route_type, "timeout": "9s"})]
+            )
+        await self.tell(known(FIRST, SILENT_SIDE))
+
+    async def stop(self) -> None:
+        for router in self.routers.values():
+            for task in router.tasks:
+                task.cancel()
+            await router.link.stop()
+            await router.callers.stop()
+            await router.routers.stop()
+            router.hops.close()
+
+    async def tell(self, *upstreams: Upstream) -> None:
+        """Give every router a table with these upstreams only."""
+        self.version += 1
+        change = FleetChange(upstreams, is_whole=True)
+        for router in self.routers.values():
+            router.view.take_fleet([VersionedFleet(self.version, change)])
+        await asyncio.sleep(FOLLOW_S)
+
+    async def ask(self, side: str, body: bytes, deadline_ms: int) -> tuple[int, bytes]:
+        """Send a request to the router of a host; return its status and body."""
+        port = self.routers[side].node.first_peer_port + 1
+        reader, writer = await asyncio.open_connection(side, port)
+        writer.write(
+            f"POST /x HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n"
+            f"{HEADER_NAMES.request_id}: {ID}\r\n"
+            f"{HEADER_NAMES.deadline_ms}: {deadline_ms}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n".encode()
+            + body
+        )
+        async with asyncio.timeout(12):
+            answer = await reader.read()
+        writer.close()
+        head, _, content = answer.partition(b"\r\n\r\n")
+        return int(head.split()[1]), content
+
+
+@contextlib.asynccontextmanager
+async def running(route_type: str, *, reads: bool = True) -> AsyncIterator[Site]:
+    upstreams = [StubbornUpstream(reads=reads), StubbornUpstream()]
+    for ip, one in zip(SIDES, upstreams, strict=True):
+        await one.start(ip)
+    upstreams[1].let_go.set()
+    site = Site(upstreams)
+    await site.start(route_type)
+    try:
+        yield site
+    finally:
+        # A server that is stopped waits for its requests.
+        for one in upstreams:
+            one.stop_listening()
+            for writer in one.writers:
+                writer.transport.abort()
+        await site.stop()
+
+
+# What happens while the request runs.
+
+
+async def leave_the_table(site: Site) -> None:
+    """Remove the upstream, as after the end of a lease or late heartbeats."""
+    await site.tell(known(OTHER, OTHER_SIDE))
+
+
+async def leave_the_table_and_come_back(site: Site) -> None:
+    await site.tell(known(OTHER, OTHER_SIDE))
+    await site.tell(known(OTHER, OTHER_SIDE), known(FIRST, SILENT_SIDE))
+
+
+async def empty_the_table(site: Site) -> None:
+    await site.tell()
+
+
+async def drain(site: Site) -> None:
+    await site.tell(known(OTHER, OTHER_SIDE), known(FIRST, SILENT_SIDE, draining=True))
+
+
+async def stop_the_router(site: Site) -> None:
+    restarting = known(FIRST, SILENT_SIDE, restarting=True)
+    await site.tell(known(OTHER, OTHER_SIDE), restarting)
+
+
+async def replace_in_the_table(site: Site) -> None:
+    """Put a later life of the upstream in its place."""
+    later = FIRST._replace(born=FIRST.born + 2)
+    await site.tell(known(OTHER, OTHER_SIDE), known(later, SILENT_SIDE))
+
+
+async def refuse_connections(site: Site) -> None:
+    """Let the router find that nothing listens, so that it reports an end."""
+    site.upstream.stop_listening()
+    local = site.routers[SILENT_SIDE].local
+    assert local is not None
+    await local.examine()
+    assert FIRST in local.ended
+    await site.tell(known(OTHER, OTHER_SIDE))
+
+
+async def stay_quiet(site: Site) -> None:
+    await site.tell(known(OTHER, OTHER_SIDE), known(FIRST, SILENT_SIDE))
+    await asyncio.sleep(4 * SILENT_S)
+
+
+EVENTS: Final[list[Callable[[Site], Awaitable[None]]]] = [
+    leave_the_table,
+    leave_the_table_and_come_back,
+    empty_the_table,
+    drain,
+    stop_the_router,
+    replace_in_the_table,
+    refuse_connections,
+    stay_quiet,
+]
+ROUTE_TYPES: Final = ["non_idempotent", "idempotent"]
+ASKED: Final = [
+    pytest.param(SILENT_SIDE, id="the router beside is asked"),
+    pytest.param(ASKED_SIDE, id="another router is asked"),
+]
+
+
+class Seen(NamedTuple):
+    """What a caller got, and how often the two upstreams ran its request."""
+
+    status: int
+    body: bytes
+    runs: int
+    other_runs: int
+
+
+def play(
+    side: str,
+    route_type: str,
+    event: Callable[[Site], Awaitable[None]],
+    *,
+    ends: bool,
+    deadline_ms: int = 8_000,
+) -> Seen:
+    """Let a request run, then the event happen, then the upstream answer or not."""
+
+    async def main() -> Seen:
+        async with running(route_type) as site:
+            asked = asyncio.create_task(site.ask(side, b"", deadline_ms))
+            await site.upstream.began.wait()
+            await event(site)
+            if ends:
+                assert not asked.done()
+                site.upstream.let_go.set()
+            status, body = await asked
+            return Seen(status, body, site.upstream.runs, site.other.runs)
+
+    return asyncio.run(main())
+
+
+@pytest.mark.parametrize("side", ASKED)
+@pytest.mark.parametrize("route_type", ROUTE_TYPES)
+@pytest.mark.parametrize("event", EVENTS)
+def test_running_work_goes_on_while_its_machine_is_silent(
+    event: Callable[[Site], Awaitable[None]], route_type: str, side: str
+) -> None:
+    """Guards against a request that is given up, or begun again, while it runs.
+
+    Its upstream may have left the table since reports or heartbeats are late.
+    """
+    seen = play(side, route_type, event, ends=True)
+    assert seen == Seen(200, b"whole", 1, 0)
+
+
+async def lose_connections(site: Site) -> None:
+    await leave_the_table(site)
+    for writer in site.upstream.writers:
+        writer.transport.abort()
+
+
+async def lose_router(site: Site) -> None:
+    await leave_the_table(site)
+    for protocol in site.routers[SILENT_SIDE].routers.connections:
+        assert protocol.transport is not None
+        protocol.transport.abort()
+
+
+@pytest.mark.parametrize(
+    ("event", "side"),
+    [
+        (lose_connections, SILENT_SIDE),
+        (lose_connections, ASKED_SIDE),
+        (lose_router, ASKED_SIDE),
+    ],
+)
+@pytest.mark.parametrize("route_type", ROUTE_TYPES)
+def test_lost_work_is_repeated_only_if_its_route_allows_it(
+    event: Callable[[Site], Awaitable[None]], side: str, route_type: str
+) -> None:
+    """Guards against a booking that runs twice, or is called not run although it ran.
+
+    Its machine has left the table when the connection is lost.
+    """
+    seen = play(side, route_type, event, ends=False)
+    if route_type == "idempotent":
+        assert seen == Seen(200, b"whole", 1, 1)
+    else:
+        assert seen[0] == 502
+        assert seen[2:] == (1, 0)
+
+
+@pytest.mark.parametrize("side", ASKED)
+@pytest.mark.parametrize("route_type", ROUTE_TYPES)
+def test_work_that_is_silent_until_its_deadline_is_not_called_not_run(
+    route_type: str, side: str
+) -> None:
+    """Guards against a refusal of a request that a silent machine may still run."""
+    seen = play(side, route_type, leave_the_table, ends=False, deadline_ms=900)
+    assert seen[0] == 504
+    assert seen[2:] == (1, 0)
