Wait for a silent peer with a request that is sent only once

Cause: TCP_USER_TIMEOUT of 3 s also ends a connection whose peer is alive but takes no bytes (Linux counts the probes of a closed window since 5.11), and one whose packets are held up after the peer got them. The request was answered with 502 while its upstream could still run it. For a request that may be repeated that is right: it is sent elsewhere if its route allows it. One that may run once, or whose body can't be sent again, gains nothing from it: its run is given up, and its caller must take it for unknown.

Ruled out: a limit of 0 in the place of the long one, since the kernel then takes its own default. Calls to control hosts and calls that grant keys keep their 3 s.

--- a/src/sassafraswharf/gateway/http_connection.py
+++ b/src/sassafraswharf/gateway/http_connection.py
@@ -33,6 +33,10 @@
 
 READ_BUFFER_BYTES: Final = 65_536
 SILENT_PEER_MS: Final = 3_000
+"""Time after which the kernel gives up a peer that takes no bytes, also one that
+answers its probes."""
+PATIENCE_MS: Final = 600_000
+"""Longer than any request is waited for. With 0 the kernel would take its default."""
 FIRST_FINAL_STATUS: Final = 200
 MAX_REASON_CHARACTERS: Final = 175
 SWITCHING_PROTOCOLS: Final = 101
@@ -77,6 +81,7 @@
         self.handed_over = False
         self.idle_since = 0.0
         self.idle_limit_s = 0.0
+        self.silence_ms = 0
         self.waiter: asyncio.Future[ResponseHead] | None = None
         self.content: StreamReader | None = None
         self.overhead_bytes = 0
@@ -99,9 +104,16 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Let the kernel give up a peer that has gone silent."""
         super().connection_made(transport)
-        sock = transport.get_extra_info("socket")
+        self.limit_silence(SILENT_PEER_MS)
+
+    def limit_silence(self, limit_ms: int) -> None:
+        """Set the time after which the kernel gives up a peer that takes no bytes."""
+        if limit_ms == self.silence_ms or self.transport is None:
+            return
+        self.silence_ms = limit_ms
+        sock = self.transport.get_extra_info("socket")
         with contextlib.suppress(OSError):
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENT_PEER_MS)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_ms)
 
     @property
     def is_reusable(self) -> bool:
@@ -111,7 +123,12 @@
     async def run(
         self, work: Work, fields: Iterable[tuple[str, str]], identity: str = ""
     ) -> ResponseHead:
-        """Send a request with the headers ``fields``; return the response's head."""
+        """Send a request with the headers ``fields``; return the response's head.
+
+        A silent peer may be at work on the request. It is given up before the
+        deadline only if the request may then be sent to another one.
+        """
+        self.limit_silence(PATIENCE_MS if work.is_sent_once else SILENT_PEER_MS)
         head = request_head(work, fields)
         has_body = work.method != "HEAD"
         self.begin(head, work.body, identity, has_response_body=has_body)
--- a/src/sassafraswharf/gateway/work.py
+++ b/src/sassafraswharf/gateway/work.py
@@ -63,6 +63,11 @@
     repeatable: bool
     terms: Terms
 
+    @property
+    def is_sent_once(self) -> bool:
+        """Return whether a send whose outcome is unknown is the last one."""
+        return self.rest is not None or not self.repeatable
+
 
 class Answer(NamedTuple):
     """A whole answer of an upstream, or the beginning of a long one.
--- a/tests/gateway/test_silent_machines.py
+++ b/tests/gateway/test_silent_machines.py
@@ -406,3 +406,29 @@
     seen = play(side, route_type, leave_the_table, ends=False, deadline_ms=900)
     assert seen[0] == 504
     assert seen[2:] == (1, 0)
+
+
+@pytest.mark.parametrize("side", ASKED)
+@pytest.mark.parametrize("size", [200_000, 600_000])
+def test_a_request_that_may_run_once_waits_for_a_peer_that_reads_late(
+    size: int, side: str
+) -> None:
+    """Guards against a booking that is given up since its upstream reads it late.
+
+    The kernel ends a connection whose peer takes no bytes for the time after which
+    it counts as silent, also if the peer answers the kernel's probes.
+    """
+
+    async def main() -> None:
+        async with running("non_idempotent", reads=False) as site:
+            body = bytes(range(250)) * (size // 250)
+            asked = asyncio.create_task(site.ask(side, body, 8_000))
+            await site.upstream.began.wait()
+            await asyncio.sleep(6 * SILENT_S)
+            site.upstream.reads.set()
+            site.upstream.let_go.set()
+            assert await asked == (200, b"whole")
+            assert site.upstream.body == body
+            assert (site.upstream.runs, site.upstream.broken_off) == (1, 0)
+
+    asyncio.run(main())
