Test a freeze of the router beside running work, and note the proofs

Processes on loopback: the router beside an endpoint is frozen for 7 s while six requests, three of which may run once, run at the endpoints for 9 s.

--- /dev/null
+++ b/tests/provider/test_silent_machines.py
@@ -0,0 +1,64 @@
+"""Requests without a key while the router beside their endpoint is frozen."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+
+from typing import TYPE_CHECKING
+
+from tests.provider.harness import BOOKING
+from tests.provider.harness import HOST
+from tests.provider.harness import Fleet
+from tests.provider.harness import document
+
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+
+WORK_S = 9.0
+FROZEN_S = 7.0
+"""Beyond the lease of 4.5 s, so that the endpoint leaves the table."""
+DEADLINE_MS = 20_000
+
+
+async def play(folder: Path) -> None:
+    fleet = Fleet(folder, ["diary", BOOKING, BOOKING], 63)
+    try:
+        await fleet.start()
+        peek = {"pathPrefix": "/peek/", "routeType": "idempotent", "service": BOOKING}
+        assert await fleet.operator.replace(document(2, 1, peek=peek)) == 200
+        await asyncio.sleep(2.0)
+        for endpoint in fleet.endpoints.values():
+            endpoint.work_s = WORK_S
+        caller = fleet.caller("side-0")
+        kinds = [("POST", "/book/x"), ("GET", "/peek/x")] * 3
+        asked = [
+            asyncio.create_task(
+                caller.send(method, path, HOST, deadline_ms=DEADLINE_MS)
+            )
+            for method, path in kinds
+        ]
+        await asyncio.sleep(0.5)
+        silent = max(
+            fleet.endpoints, key=lambda name: len(fleet.endpoints[name].running)
+        )
+        assert fleet.endpoints[silent].running
+        log = folder / "side-0.log"
+        known = log.read_bytes().count(b"fleet_in_force")
+        fleet.machines.signal(silent, signal.SIGSTOP)
+        await asyncio.sleep(FROZEN_S)
+        assert log.read_bytes().count(b"fleet_in_force") > known
+        fleet.machines.signal(silent, signal.SIGCONT)
+        replies = await asyncio.gather(*asked)
+        assert [reply.status for reply in replies] == [200] * len(asked)
+        runs = fleet.runs()
+        assert [runs[reply.request_id] for reply in replies] == [1] * len(asked)
+    finally:
+        await fleet.stop()
+
+
+def test_running_work_outlives_a_freeze_of_the_router_beside(tmp_path: Path) -> None:
+    """Guards against work that is given up, or begun again, after a lease is over."""
+    asyncio.run(play(tmp_path))
