Serve only keys that stay after a late answer to a grant

Cause: the keys that requests may use were cut to the rows of the table when the table changed. A call that was under way then was answered later, and its whole row counted again, also the keys that were being released, until the end of that hold (up to 3.4 s). The upstream refuses such requests with 421, so each lost one hop.

What the upstream may hold is not changed: all keys of the call count as held, which the test checks too. Ruled out: a call that is dropped when its row moves, since it may be carried out all the same, and cutting the keys with the next look at the table, which leaves up to 0.1 s.

--- a/src/sassafraswharf/gateway/call_delivery.py
+++ b/src/sassafraswharf/gateway/call_delivery.py
@@ -205,7 +205,7 @@
                 until = self.clock.now() + GRANT_TIMEOUT_S
                 async with asyncio.timeout(GRANT_TIMEOUT_S):
                     reply = await self.caller.grant(instance.name, offer)
-            if reply is None or not self.take(offers[0], reply):
+            if reply is None or not self.take(instance, offers[0], reply):
                 await asyncio.sleep(RETRY_PAUSE_S)
         except UNANSWERED as error:
             self.outcomes["unanswered"] += 1
@@ -223,7 +223,7 @@
             if self.grants.get(row) is asyncio.current_task():
                 del self.grants[row]
 
-    def take(self, offer: Offer, reply: HoldReply) -> bool:
+    def take(self, instance: Instance, offer: Offer, reply: HoldReply) -> bool:
         """Take the answer to a grant; return whether the keys are held."""
         row = offer.row
         if reply.status == STATUS_OK:
@@ -231,6 +231,8 @@
             kind = "renewed" if is_renewal else "granted"
             self.outcomes[kind] += 1
             self.holds.on_accepted(offer, self.clock.now())
+            # Keys of the row may have begun to move since the call was sent.
+            self.holds.keep_only(self.wanted(instance))
             if not is_renewal or self.outcomes[kind] % RENEWAL_SAMPLE == 1:
                 self.log.record(
                     kind,
--- a/tests/gateway/test_call_delivery.py
+++ b/tests/gateway/test_call_delivery.py
@@ -64,11 +64,14 @@
         self.beat: Beat | None = Beat(SELF)
 
 
-Reply = HoldReply | Exception | None
+Reply = HoldReply | Exception | asyncio.Event | None
 
 
 class ScriptedCaller:
-    """Answers each call with the next reply of its kind; ``None``: never."""
+    """Answers each call with the next reply of its kind; ``None``: never.
+
+    An event is answered with success once it is set.
+    """
 
     def __init__(self, grants: list[Reply], releases: list[Reply]) -> None:
         self.scripts = {"grant": grants, "release": releases}
@@ -91,6 +94,9 @@
         reply = script.pop(0) if script else HoldReply(200, "")
         if reply is None:
             await asyncio.Event().wait()
+        if isinstance(reply, asyncio.Event):
+            await reply.wait()
+            reply = HoldReply(200, "")
         if isinstance(reply, Exception):
             raise reply
         assert isinstance(reply, HoldReply)
@@ -326,3 +332,38 @@
         await site.step()
 
     assert not play(scenario).caller.calls
+
+
+@pytest.mark.parametrize(
+    "earlier", [[], [HoldReply(200, "")]], ids=["first", "renewal"]
+)
+@pytest.mark.parametrize("kept_from", [100, 50, 0])
+def test_a_grant_that_is_answered_after_its_row_began_to_move_serves_what_stays(
+    monkeypatch: pytest.MonkeyPatch, earlier: list[Reply], kept_from: int
+) -> None:
+    """Guards against requests that are sent for keys which are being released.
+
+    The upstream refuses them, so each has made its way for nothing.
+    """
+    monkeypatch.setattr(call_delivery, "GRANT_TIMEOUT_S", 0.4)
+    answered = asyncio.Event()
+
+    async def scenario(site: Site) -> None:
+        site.table(5, ROW)
+        while len(site.caller.calls) <= len(earlier):
+            await site.step()
+        rows = [MOVING._replace(last=kept_from - 1), ROW._replace(first=kept_from)]
+        site.table(6, *(row for row in rows if row.first <= row.last))
+        await site.step()
+        answered.set()
+        for _ in range(10):
+            await site.step()
+            for key in (0, 49, 50, 99):
+                serves = site.holds.holds_key(key, site.clock.now())
+                assert serves is (key >= kept_from)
+        held = site.holds.held(site.clock.now())
+        assert {key for row in held for key in range(row.first, row.last + 1)} == set(
+            range(100)
+        )
+
+    play(scenario, grants=[*earlier, answered], releases=[None] * 100)
