Stop serving keys when their release becomes possible

Cause: the keys that requests may use were cut to the rows to hold only with a new table. After a restart of the router, rows on their way out stay in use until calls of the earlier process must have ended; then they are released, with the table as it was. Requests for them went on until the hold's end and were refused by the upstream.

The rows to hold are compared now, not the version of the table. Before: the new test failed (the release was called and the key still served).

--- a/src/sassafraswharf/gateway/call_delivery.py
+++ b/src/sassafraswharf/gateway/call_delivery.py
@@ -75,7 +75,7 @@
         self.clock = clock
         self.log = log
         self.instance: Instance | None = None
-        self.kept_version = -1
+        self.kept: list[GrantedRow] = []
         self.grants: dict[GrantedRow, asyncio.Task[None]] = {}
         self.releases: dict[HeldRow, asyncio.Task[None]] = {}
         self.refused: set[HeldRow] = set()
@@ -119,8 +119,9 @@
         if instance is None:
             return
         wanted = self.wanted(instance)
-        if self.kept_version != self.view.fleet.version:
-            self.kept_version = self.view.fleet.version
+        if self.kept != wanted:
+            # Also without a new table: releases may have become possible.
+            self.kept = wanted
             self.holds.keep_only(wanted)
             self.refused &= {held_row(row) for row in wanted}
         now = self.clock.now()
@@ -145,7 +146,7 @@
             self.holds.on_end()
             self.refused.clear()
         self.instance = present
-        self.kept_version = -1
+        self.kept = []
 
     def wanted(self, instance: Instance) -> list[GrantedRow]:
         """Return the rows that the upstream is to hold now.
--- a/tests/gateway/test_call_delivery.py
+++ b/tests/gateway/test_call_delivery.py
@@ -322,6 +322,24 @@
     play(scenario)
 
 
+def test_keys_of_a_move_are_not_served_once_their_release_has_begun() -> None:
+    """Guards against requests sent for keys that are released without a new table.
+
+    Their release begins when calls of an earlier process must have ended.
+    """
+
+    async def scenario(site: Site) -> None:
+        site.holds.complete_at = site.clock.now() + 1.0
+        site.table(6, MOVING)
+        await site.step()
+        assert site.holds.holds_key(50, site.clock.now())
+        await site.step(1.0)
+        assert site.caller.calls[-1] == ("release", 0, 99, 5)
+        assert not site.holds.holds_key(50, site.clock.now())
+
+    play(scenario, releases=[None] * 100)
+
+
 def test_a_row_that_left_while_a_connection_was_opened_is_not_granted() -> None:
     """Guards against a grant that is sent after the keys have got another owner."""
 
