Read the rest of a request while its connection is closed

A stop lost requests whose body had not come whole when their connections were closed (LOST): what came later was read and dropped, the handler waited for it until the end of the stop, and the connection ended without an answer. aiohttp drops whatever arrives once `close` was called on a connection, also the rest of the request that is being answered, and what its parser holds back of a long body. Control hosts close all connections at once (`stop_accepting`); on routers it takes a request whose first part is read in the turn in which `finish` closes idle connections.

The rest of an incomplete body is parsed now also on such a connection. Requests behind it are dropped as before and the connection ends with the answer.

Bodies that come while `finish` waits, before it closes idle connections, were answered before, too.

--- a/src/sassafraswharf/router/http_server.py
+++ b/src/sassafraswharf/router/http_server.py
@@ -139,17 +139,14 @@
         """Time a request that begins on an idle connection until its head is whole.
 
         What arrives before the last request has ended may be the rest of its body.
-        Once the head is whole, the request may reach an upstream before its handler
-        could stop the timer.
         """
         if self.head_timer is None and self.is_idle:
             self.start_head_timer()
         before = self.progress()
-        super().data_received(data)
-        if self._request_count != before[0]:
+        self.parse(data)
+        if arrived := self._request_count - before[0]:
             self.stop_head_timer()
-        loop = asyncio.get_running_loop()
-        self.arrivals.extend([loop.time()] * (self._request_count - before[0]))
+            self.arrivals.extend([self._loop.time()] * arrived)
         if self._messages:
             self.content = self._messages[-1][1]
         if self.progress() != before:
@@ -162,6 +159,17 @@
         if self.unread_bytes > self.max_header_bytes():
             self.refuse_head()
 
+    def parse(self, data: bytes) -> None:
+        """Parse what has arrived, also the rest of a request while closing.
+
+        aiohttp drops what arrives on a connection that is to be closed. A request
+        whose body had not come whole would wait for it and never be answered.
+        """
+        closing = self._close
+        self._close = closing and (self.content is None or self.content.is_eof())
+        super().data_received(data)
+        self._close = self._close or closing
+
     def close(self) -> None:
         """Close the connection, as soon as no request of it is being answered.
 
@@ -215,8 +223,7 @@
 
     def start_head_timer(self) -> None:
         """Close the connection unless a whole head arrives in time."""
-        loop = asyncio.get_running_loop()
-        self.head_timer = loop.call_later(self.head_timeout_s, self.force_close)
+        self.head_timer = self._loop.call_later(self.head_timeout_s, self.force_close)
 
     def stop_head_timer(self) -> None:
         """Keep the connection: a whole head has arrived."""
@@ -328,12 +335,9 @@
         try:
             self.server = await loop.create_server(self, address, port, backlog=BACKLOG)
         except OSError as error:
-            raise TransportError(
-                Failure(
-                    ResultCode.PEER_UNREACHABLE,
-                    f"can't listen on {address}:{port}: {error}",
-                )
-            ) from error
+            reason = f"can't listen on {address}:{port}: {error}"
+            failure = Failure(ResultCode.PEER_UNREACHABLE, reason)
+            raise TransportError(failure) from error
         return int(self.server.sockets[0].getsockname()[1])
 
     async def stop_accepting(self) -> None:
--- a/tests/router/test_kept_connections.py
+++ b/tests/router/test_kept_connections.py
@@ -202,3 +202,64 @@
     with asyncio.Runner(loop_factory=new_loop) as runner:
         answers = runner.run(send_in_one_go(count, body_bytes))
     assert answers == count
+
+
+class HalfReader(HttpServer):
+    """Reads half of a request in the turn in which it closes connections."""
+
+    def __init__(self, half: bytes) -> None:
+        super().__init__(
+            read_all,
+            max_body_bytes=1_048_576,
+            max_header_bytes=8_192,
+            header_timeout_s=5.0,
+        )
+        self.half = half
+
+    def pre_shutdown(self) -> None:
+        for connection in self.connections:
+            connection.data_received(self.half)
+        super().pre_shutdown()
+
+
+async def read_all(request: web.BaseRequest) -> web.Response:
+    body = await request.read()
+    return web.Response(text=f"read {len(body)}")
+
+
+async def close_between_two_halves(size: int, finishes: bool) -> bytes:
+    """Return the answer to a request whose connection is closed before its end."""
+    half = b"b" * (size // 2)
+    server = HalfReader(
+        b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n" % size + half
+    )
+    port = await server.start("127.0.0.1", 0)
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(REQUEST)
+    await reader.readuntil(b"read 0")
+    closing = asyncio.create_task(
+        server.finish(2.0) if finishes else server.stop_accepting()
+    )
+    await asyncio.sleep(0.5)
+    writer.write(half)
+    try:
+        async with asyncio.timeout(1):
+            return await reader.read()
+    except TimeoutError:
+        return b""
+    finally:
+        await closing
+        writer.close()
+        await server.stop()
+
+
+@on_both_loops
+@pytest.mark.parametrize("size", [8, 1_000_000])
+@pytest.mark.parametrize("finishes", [False, True])
+def test_the_rest_of_a_body_is_read_while_its_connection_is_closed(
+    finishes: bool, size: int, new_loop: NewLoop
+) -> None:
+    """Guards against a stop that reads the rest of a request and drops it (LOST)."""
+    with asyncio.Runner(loop_factory=new_loop) as runner:
+        received = runner.run(close_between_two_halves(size, finishes))
+    assert received.endswith(b"read %d" % size)
