Let a voter that was replaced while it was away join again

Cause: with more hosts than voters, a voter that is silent for 2 s gives its place to another host and is then sent nothing any more. When it came back, its own log still named it as a voter, so it asked for votes without end instead of asking to join. The host was lost to the group: it knew no leader and could not replace another voter.

In a group that fills its places by itself, a voter that has heard no leader for 2 s now also asks to join; a leader that has it as a member ignores that. Where operators choose the voters, nothing changes. The requests also go to the members that the log names, since the hosts of the settings may be gone.

--- a/src/sassafraswharf/consensus/membership.py
+++ b/src/sassafraswharf/consensus/membership.py
@@ -59,7 +59,9 @@
         self.join_due_at = now + self.timing.election_min_s
         if not self.is_founded and self.founder == host_name(self.identity):
             self.found_if_promised(now)
-        for name in self.names:
+        # The hosts that founded the group may be gone.
+        members = {host_name(one) for one in self.log.voters.members}
+        for name in sorted({*self.names, *members}):
             if name == host_name(self.identity):
                 continue
             target = ReplicaId(name)
@@ -75,16 +77,20 @@
     def wants_to_join(self, now: float) -> bool:
         """Return whether no leader knows this replica.
 
-        A voter that was removed stays away until it restarts. A learner asks
-        again, because its addition may be lost with a leader, or undone by a
-        delayed request of an older identity of its host.
+        A voter that an operator removed stays away until it restarts. A learner
+        asks again, because its addition may be lost with a leader, or undone by a
+        delayed request of an older identity of its host. A voter that has heard no
+        leader for long may have lost its place to another host without knowing it.
         """
-        if self.is_voter:
-            return False
         if not self.is_founded:
             return True
-        silent = now - self.leader_heard_at > self.timing.election_max_s
-        return silent and not self.was_removed()
+        silent_s = now - self.leader_heard_at
+        if self.policy.target_voters:
+            limit_s = SILENT_VOTER_S if self.is_voter else self.timing.election_max_s
+            return silent_s > limit_s
+        if self.is_voter:
+            return False
+        return silent_s > self.timing.election_max_s and not self.was_removed()
 
     def was_removed(self) -> bool:
         """Return whether this replica is no member but was a voter."""
--- a/src/sassafraswharf/consensus/replica.py
+++ b/src/sassafraswharf/consensus/replica.py
@@ -66,10 +66,10 @@
             return []
         if self.role is Role.LEADER:
             self.lead(now)
-        elif not self.is_voter:
+        else:
             self.seek_group(now)
-        elif now >= self.election_due_at:
-            self.campaign(now)
+            if self.is_voter and now >= self.election_due_at:
+                self.campaign(now)
         return self.take()
 
     def lead(self, now: float) -> None:
--- a/tests/consensus/test_final_fault.py
+++ b/tests/consensus/test_final_fault.py
@@ -73,7 +73,7 @@
 
 
 @pytest.mark.parametrize("fault", FinalFault, ids=lambda one: one.name.lower())
-@pytest.mark.parametrize("count", [5])
+@pytest.mark.parametrize("count", [5, 7])
 def test_acknowledged_changes_survive_the_final_fault(
     count: int, fault: FinalFault
 ) -> None:
@@ -81,6 +81,21 @@
     play_days(count, fault)
 
 
+def test_replaced_voter_joins_again() -> None:
+    """Guards against hosts that return and take no part in the group any more.
+
+    A voter that was away does not know that another host has its place.
+    """
+    day = Day(6, 1)
+    day.wait_for_voters()
+    for name in day.committed_voters().voters[:3]:
+        day.stay_away(sim.host_name(name))
+        assert name not in day.committed_voters().members
+        day.settle()
+        assert name in day.committed_voters().members
+    day.check_acknowledged()
+
+
 UNSAFE = {
     "durable_index": lambda replica: replica.verified_index,
     "is_up_to_date": lambda *_: True,
