Count the bytes and messages of hops by zone

Bytes between availability zones are paid for, and nothing said how many of them are hops. The router that forwards a request counts what it writes and reads on its connections to other routers, heads included, by whether the other router is in its own zone. A hop is counted once, at the sender: the receiver doesn't know the zone.

The counts are plain integers.

test_hop_client.py compares the counts with the bytes that a scripted router got and sent (short and long bodies on kept connections, both loops).

--- a/src/sassafraswharf/gateway/connection_pool.py
+++ b/src/sassafraswharf/gateway/connection_pool.py
@@ -11,6 +11,7 @@
 if TYPE_CHECKING:
     from sassafraswharf.clock import Clock
     from sassafraswharf.gateway.http_connection import ResponseHead
+    from sassafraswharf.observability.traffic import Flow
 
 
 CONNECT_TIMEOUT_S: Final = 0.4
@@ -24,9 +25,14 @@
     """Gives out idle connections, the most recently used one first."""
 
     def __init__(
-        self, address: tuple[str, int], clock: Clock, identity_header: str = ""
+        self,
+        address: tuple[str, int],
+        clock: Clock,
+        identity_header: str = "",
+        flow: Flow | None = None,
     ) -> None:
         """Prepare a pool that connects on demand to ``address``."""
+        self.flow = flow
         self.address = address
         self.clock = clock
         self.identity_header = identity_header
@@ -43,16 +49,17 @@
             if connection.is_reusable and idle_s < connection.idle_limit_s:
                 return connection
             connection.abort()
-        self.opened += 1
-        return await HttpConnection.connect(
-            self.address, timeout_s, self.identity_header
-        )
+        return await self.connect(timeout_s)
 
     async def probe(self, timeout_s: float = CONNECT_TIMEOUT_S) -> None:
         """Open one more connection and keep it; raises as ``acquire`` does."""
+        self.release(await self.connect(timeout_s))
+
+    async def connect(self, timeout_s: float) -> HttpConnection:
+        """Open a connection; raises as ``acquire`` does."""
         self.opened += 1
-        self.release(
-            await HttpConnection.connect(self.address, timeout_s, self.identity_header)
+        return await HttpConnection.connect(
+            self.address, timeout_s, self.identity_header, self.flow
         )
 
     def release(
--- a/src/sassafraswharf/gateway/hop_client.py
+++ b/src/sassafraswharf/gateway/hop_client.py
@@ -22,6 +22,7 @@
 from sassafraswharf.gateway.responses import CALLER_FAULTS
 from sassafraswharf.gateway.work import Answer
 from sassafraswharf.gateway.work import Rejection
+from sassafraswharf.observability.traffic import Traffic
 
 
 if TYPE_CHECKING:
@@ -44,6 +45,7 @@
         self.port = port
         self.choice = choice
         self.clock = clock
+        self.traffic = Traffic(choice.zone)
         self.pools: dict[str, ConnectionPool] = {}
 
     def keep_only(self, routers: set[str]) -> None:
@@ -59,7 +61,9 @@
         """Send a request to the router of an upstream and read the outcome."""
         pool = self.pools.get(upstream.router)
         if pool is None:
-            pool = ConnectionPool((upstream.router, self.port), self.clock)
+            address = (upstream.router, self.port)
+            flow = self.traffic.flow("hop", upstream.zone)
+            pool = ConnectionPool(address, self.clock, flow=flow)
             self.pools[upstream.router] = pool
         try:
             connection = await pool.acquire(CONNECT_TIMEOUT_S)
--- a/src/sassafraswharf/gateway/http_connection.py
+++ b/src/sassafraswharf/gateway/http_connection.py
@@ -18,6 +18,7 @@
 from sassafraswharf.exceptions import ExchangeError
 from sassafraswharf.gateway.message_text import one_line
 from sassafraswharf.gateway.message_text import request_head
+from sassafraswharf.observability.traffic import Flow
 
 
 if TYPE_CHECKING:
@@ -68,9 +69,10 @@
     next one is expected.
     """
 
-    def __init__(self, identity_header: str = "") -> None:
-        """Prepare a connection; ``connect`` opens it."""
+    def __init__(self, identity_header: str = "", flow: Flow | None = None) -> None:
+        """Prepare a connection, counted in ``flow``; ``connect`` opens it."""
         super().__init__(asyncio.get_running_loop())
+        self.flow = flow or Flow()
         self.identity_header = identity_header
         self.identity = ""
         self.peer = ""
@@ -90,13 +92,17 @@
 
     @classmethod
     async def connect(
-        cls, address: tuple[str, int], timeout_s: float, identity_header: str = ""
+        cls,
+        address: tuple[str, int],
+        timeout_s: float,
+        identity_header: str = "",
+        flow: Flow | None = None,
     ) -> HttpConnection:
         """Open a connection; raises ``OSError`` or ``TimeoutError``."""
         loop = asyncio.get_running_loop()
         async with asyncio.timeout(timeout_s):
             _, protocol = await loop.create_connection(
-                lambda: cls(identity_header), *address
+                lambda: cls(identity_header, flow), *address
             )
         protocol.peer = address[0]
         return protocol
@@ -168,13 +174,16 @@
             auto_decompress=False,
         )
         self.sent_any = True
-        self.transport.write(head + body)
+        message = head + body
+        self.flow.on_sent(len(message))
+        self.transport.write(message)
 
     async def send_rest(self, rest: AsyncIterator[bytes]) -> None:
         """Write what follows the beginning of a long body, as far as it is taken."""
         async for part in rest:
             if self.transport is None:
                 return
+            self.flow.sent_bytes += len(part)
             self.transport.write(part)
             await self._drain_helper()
 
@@ -219,6 +228,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse a part of a response."""
+        self.flow.received_bytes += len(data)
         if self.content is not None and self.content.is_eof():
             # What follows the answer belongs to no request, and nobody reads it.
             self._parser = None
@@ -286,6 +296,7 @@
         if message.should_close:
             self.condemned = True
         self.content = content
+        self.flow.received_messages += 1
         waiter.set_result(ResponseHead(message.code, message.headers, content))
 
     def fail(self, reason: str) -> None:
--- a/tests/gateway/test_hop_client.py
+++ b/tests/gateway/test_hop_client.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 
 from typing import TYPE_CHECKING
 
 import pytest
+import uvloop
 
 from aiohttp import web
 from result import Err
+from result import Ok
 
 from sassafraswharf.clock import BootClock
 from sassafraswharf.codes import ResultCode
@@ -32,12 +35,14 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
     from collections.abc import Awaitable
     from collections.abc import Callable
 
     Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
+NO_LOAD = LoadHint(0, 0, 1, 0.0)
 UPSTREAM = Upstream(Instance("i-1", 7), "diary", "h", LOOPBACK, "a", 100, False)
 
 
@@ -112,3 +117,72 @@
     and a caller doesn't come back after 400, 404 or 413.
     """
     assert status_for_caller(handler) == status
+
+
+class CountingRouter:
+    """A router that answers everything and counts the bytes both ways."""
+
+    def __init__(self, body: bytes) -> None:
+        self.answer = (
+            f"HTTP/1.1 200 OK\r\n{OUTCOME}: {encode_outcome(None, NO_LOAD)}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n".encode()
+            + body
+        )
+        self.received = 0
+        self.sent = 0
+        self.ended = asyncio.Event()
+
+    async def handle(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                self.received += len(head)
+                if b"chunked" in head:
+                    self.received += len(await reader.readuntil(b"\r\n0\r\n\r\n"))
+                writer.write(self.answer)
+                self.sent += len(self.answer)
+        writer.transport.abort()
+        self.ended.set()
+
+
+async def long_body() -> AsyncIterator[bytes]:
+    for _ in range(20):
+        yield b"3e8\r\n" + bytes(1_000) + b"\r\n"
+    yield b"0\r\n\r\n"
+
+
+@pytest.mark.parametrize("loop", [asyncio.new_event_loop, uvloop.new_event_loop])
+@pytest.mark.parametrize(("zone", "peers"), [("a", "own_zone"), ("b", "other_zone")])
+def test_the_bytes_of_hops_are_counted_as_they_are_sent(
+    zone: str, peers: str, loop: Callable[[], asyncio.AbstractEventLoop]
+) -> None:
+    """Guards against counters that miss heads, long bodies or kept connections."""
+
+    async def main() -> None:
+        router = CountingRouter(bytes(5_000))
+        server = await asyncio.start_server(router.handle, LOOPBACK, 0)
+        port = server.sockets[0].getsockname()[1]
+        clock = BootClock()
+        hops = HopClient(port, FleetChoice("a", random.Random(1)), clock)
+        upstream = UPSTREAM._replace(zone=zone)
+        for rest in (None, long_body(), None):
+            outcome = await hops.run(work(clock.now())._replace(rest=rest), upstream)
+            assert isinstance(outcome, Ok)
+        hops.close()
+        server.close()
+        await router.ended.wait()
+        # The event loop closes a socket one turn after its transport.
+        await asyncio.sleep(0.01)
+        traffic = hops.traffic
+        assert {
+            tuple(labels.values()): size for size, labels in traffic.read_bytes()
+        } == {
+            ("hop", peers, "sent"): router.received,
+            ("hop", peers, "received"): router.sent,
+        }
+        assert [count for count, _ in traffic.read_messages()] == [3, 3]
+
+    with asyncio.Runner(loop_factory=loop) as runner:
+        runner.run(main())
