Count what reports, plans and changes of the fleet weigh by zone

The control host that is asked counts the body of each report, the parts of the configuration and of the fleet in its answer, and the rest of the answer, by whether the router is in its own zone, which the report names. The router can't count these by zone, since it knows only the addresses of control hosts. The log line of a long answer moves along, so that all that is noted of an answer is in one place.

Not counted yet: the replicated log, requests of callers, and nothing is in `status`.

--- a/src/sassafraswharf/fleet/control_node.py
+++ b/src/sassafraswharf/fleet/control_node.py
@@ -38,7 +38,6 @@
 from sassafraswharf.fleet.sync import REQUEST_DECODER
 from sassafraswharf.fleet.sync import SyncReply
 from sassafraswharf.fleet.sync import SyncRequest
-from sassafraswharf.fleet.transfer import PART_BYTES
 from sassafraswharf.identifiers import GroupId
 from sassafraswharf.identifiers import ReplicaId
 from sassafraswharf.peering.plain_sealer import PlainSealer
@@ -68,8 +67,6 @@
 )
 PROPOSAL_TIMEOUT_S: Final = 3.0
 PLANNING_S: Final = 0.1
-LONG_REPLY_BYTES: Final = 2 * PART_BYTES
-"""Answers to routers above this size are logged."""
 PEER_SILENT_S: Final = 1.2
 """A connection between control hosts without messages for this long is replaced,
 since it may have gone silent for good."""
@@ -124,7 +121,7 @@
         self.news = ChangeSignal()
         self.due = asyncio.Event()
         self.heard_at: dict[str, float] = {}
-        self.feed = StateFeed(self.state, log)
+        self.feed = StateFeed(self.state, log, node.zone)
         self.dialled_at: dict[str, float] = {}
         self.mailbox = Mailbox(
             f"{node.address}:{node.first_peer_port + 1}",
@@ -303,20 +300,14 @@
     async def handle_sync(self, request: web.BaseRequest) -> web.Response:
         """Answer a router's report."""
         try:
-            report = REQUEST_DECODER.decode(await request.read())
+            received = await request.read()
+            report = REQUEST_DECODER.decode(received)
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
             self.log.record("report_refused", why=str(error))
             return web.Response(status=400)
         reply = await self.sync(report)
         body = msgspec.msgpack.encode(reply)
-        if len(body) > LONG_REPLY_BYTES:
-            self.log.record(
-                "long_reply",
-                router=report.host,
-                bytes=len(body),
-                plan=report.plan_version,
-                fleet=report.fleet_version,
-            )
+        self.feed.on_reply(report, reply, len(received), len(body))
         return web.Response(body=body)
 
     async def sync(self, report: SyncRequest) -> SyncReply:
--- a/src/sassafraswharf/fleet/state_feed.py
+++ b/src/sassafraswharf/fleet/state_feed.py
@@ -7,7 +7,9 @@
 
 from sassafraswharf.fleet.part_budget import PartBudget
 from sassafraswharf.fleet.part_sender import PartSender
+from sassafraswharf.fleet.transfer import PART_BYTES
 from sassafraswharf.fleet.urgent_news import UrgentNews
+from sassafraswharf.observability.traffic import Traffic
 
 
 if TYPE_CHECKING:
@@ -15,6 +17,7 @@
 
     from sassafraswharf.fleet.coordinator import Session
     from sassafraswharf.fleet.fleet_state import FleetState
+    from sassafraswharf.fleet.sync import SyncReply
     from sassafraswharf.fleet.sync import SyncRequest
     from sassafraswharf.fleet.transfer import TransferPart
     from sassafraswharf.observability.decision_log import DecisionLog
@@ -23,13 +26,16 @@
 
 
 LAG_PERIOD_S: Final = 1.0
+LONG_REPLY_BYTES: Final = 2 * PART_BYTES
+"""Answers to routers above this size are logged."""
 
 
 class StateFeed:
     """Feeds the configuration and the fleet to routers, a part with each answer."""
 
-    def __init__(self, state: FleetState, log: DecisionLog) -> None:
-        """Feed what ``state`` has."""
+    def __init__(self, state: FleetState, log: DecisionLog, zone: str) -> None:
+        """Feed what ``state`` has from a host in an availability zone."""
+        self.traffic = Traffic(zone)
         self.state = state
         self.log = log
         self.plan_sender = PartSender(state.encoded_plan_since)
@@ -54,6 +60,26 @@
         """Take a report as the arrival of the parts sent before."""
         self.budget.on_report(report.host)
 
+    def on_reply(
+        self, report: SyncRequest, reply: SyncReply, received: int, sent: int
+    ) -> None:
+        """Count the bytes of a report and of its answer; log a long one."""
+        zone = report.zone
+        if sent > LONG_REPLY_BYTES:
+            self.log.record(
+                "long_reply",
+                router=report.host,
+                bytes=sent,
+                plan=report.plan_version,
+                fleet=report.fleet_version,
+            )
+        self.traffic.flow("report", zone).on_received(received)
+        for kind, part in (("plan", reply.plan), ("fleet", reply.fleet)):
+            if part is not None:
+                self.traffic.flow(kind, zone).on_sent(len(part.data))
+                sent -= len(part.data)
+        self.traffic.flow("report", zone).on_sent(sent)
+
     def plan_part(self, report: SyncRequest, now: float) -> TransferPart | None:
         """Return what a router needs next of the configuration."""
         newest = self.state.plan.version
--- a/tests/provider/test_fleet.py
+++ b/tests/provider/test_fleet.py
@@ -236,6 +236,17 @@
         assert 'code="0"' in pages["side-0"]
         assert "sassafraswharf_request_latency" in pages["side-0"]
         assert 'what="can_acknowledge"' in pages["core-0"]
+        for name, kinds in (("side-0", ["hop"]), ("core-0", ["report", "fleet"])):
+            for what in ("bytes", "messages"):
+                counted = [
+                    line
+                    for line in pages[name].splitlines()
+                    if line.startswith(f"sassafraswharf_traffic_{what}_total")
+                    and 'peers="own_zone"' in line
+                    and float(line.split()[-1]) > 0
+                ]
+                for kind in kinds:
+                    assert any(f'kind="{kind}"' in line for line in counted)
 
     play(tmp_path, 18, scenario)
 
