--- a/src/sassafraswharf/gateway/hop_server.py
+++ b/src/sassafraswharf/gateway/hop_server.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from typing import TYPE_CHECKING
+from typing import Final
 
 from aiohttp import web
 from result import Err
@@ -32,6 +33,10 @@
     from sassafraswharf.observability.decision_log import DecisionLog
 
 
+STOPPING: Final = Rejection(ResultCode.NO_UPSTREAM, "the router is stopping", True)
+"""Makes the other router look for another upstream."""
+
+
 class HopServer:
     """The other routers' way to the upstream of this host.
 
@@ -69,9 +74,11 @@
             message = "not a forwarded request"
             return self.reject(Rejection(ResultCode.BAD_REQUEST, message, True))
         if self.refusing:
-            message = "the router is being stopped"
-            return self.reject(Rejection(ResultCode.NO_UPSTREAM, message, True))
+            return self.reject(STOPPING)
         work = await self.read(request, hop)
+        if self.refusing:
+            # Its body was read until now.
+            return self.reject(STOPPING)
         try:
             async with asyncio.timeout(hop.terms.deadline_at - now):
                 outcome = await local.run(work, hop.instance)
--- a/src/sassafraswharf/gateway/ingress.py
+++ b/src/sassafraswharf/gateway/ingress.py
@@ -48,6 +48,9 @@
 OVERFLOW_TRIES: Final = 2
 """Upstreams that are asked for room before a request is refused as overload."""
 SUCCESS_SAMPLE: Final = 64
+REFUSAL_S: Final = 0.02
+"""Time in which what waits at the upstream beside hears that it is refused."""
+STOPPING: Final = Rejection(ResultCode.SHUTTING_DOWN, "the router is stopping", True)
 MAX_LOGGED_TEXT: Final = 120
 """Characters of a caller's text that a line of the log repeats."""
 
@@ -141,15 +144,16 @@
         now = self.clock.now() - waited_s(request)
         request_id = request.headers.get(self.names.request_id, "")
         if self.refusing:
-            message = "the router is being stopped"
-            rejection = Rejection(ResultCode.SHUTTING_DOWN, message, True)
-            return self.turn_away(request, request_id, rejection, "-")
+            return self.turn_away(request, request_id, STOPPING, "-")
         target = self.reader.find_target(request, now)
         if isinstance(target, Rejection):
             return self.turn_away(request, request_id, target, "-")
         work = await self.reader.read_work(request, request_id, target, now)
         if isinstance(work, Rejection):
             return self.turn_away(request, request_id, work, target.route.name)
+        if self.refusing:
+            # Its body was read until now.
+            return self.turn_away(request, request_id, STOPPING, target.route.name)
         progress = Progress()
         outcome = await self.serve_in_time(work, target.route, progress)
         code = 0 if isinstance(outcome, Ok) else int(outcome.err_value.code)
@@ -245,9 +249,10 @@
         One that no upstream has been sent is refused as not run.
         """
         self.gave_up = True
-        now = asyncio.get_running_loop().time()
+        end = asyncio.get_running_loop().time() + REFUSAL_S
         for limit in self.limits:
-            limit.reschedule(now)
+            if not limit.expired():
+                limit.reschedule(min(end, limit.when() or end))
 
     async def serve(self, work: Work, route: Route, progress: Progress) -> Outcome:
         """Send a request until there is an answer or no way to get one."""
--- a/src/sassafraswharf/gateway/local_upstream.py
+++ b/src/sassafraswharf/gateway/local_upstream.py
@@ -110,6 +110,7 @@
         self.ended: set[Instance] = set()
         self.load = UpstreamLoad(clock)
         self.crashes = crashes
+        self.gave_up = False
         self.examination: asyncio.Task[None] | None = None
 
     # The life of the upstream.
@@ -185,7 +186,7 @@
         One that is leaving still takes requests for a while, until the other
         routers know it and its keys have moved.
         """
-        if self.beat is None or self.down_until > now:
+        if self.beat is None or self.gave_up or self.down_until > now:
             return False
         if not self.draining_at:
             return True
@@ -249,6 +250,8 @@
                 return True
             if not self.owns(work.service, key, instance) or now >= until:
                 return False
+            if self.gave_up:
+                return False
             await self.holds.changed.wait(until - now)
             now = self.clock.now()
         return True
@@ -262,8 +265,9 @@
         try:
             return await admitted.turn
         except asyncio.CancelledError:
-            started = admitted.turn.done() and not admitted.turn.cancelled()
-            if not self.queue.withdraw(admitted) and started:
+            turn = admitted.turn
+            has_slot = turn.done() and not turn.cancelled() and turn.result()
+            if not self.queue.withdraw(admitted) and has_slot:
                 self.queue.finish(None)
                 self.start_waiting()
             raise
@@ -277,6 +281,12 @@
                 continue
             admitted.turn.set_result(True)
 
+    def give_up(self) -> None:
+        """Refuse what waits for its turn or its key, and whatever comes."""
+        self.gave_up = True
+        self.refuse_all(self.queue.withdraw_all())
+        self.holds.changed.notify()
+
     def refuse_all(self, refused: list[Admitted]) -> None:
         """Tell waiting requests that they can't be answered in time."""
         for one in refused:
--- a/src/sassafraswharf/gateway/router_node.py
+++ b/src/sassafraswharf/gateway/router_node.py
@@ -253,7 +253,7 @@
     def give_up(self) -> None:
         """Answer what the stop leaves no time for; what waits is refused as not run."""
         if self.local is not None:
-            self.local.refuse_all(self.local.queue.withdraw_all())
+            self.local.give_up()
         self.ingress.give_up()
 
     def on_settings(self, node: Node) -> None:
