Move the loopback fleet of the tests into the bench

The fault soak needs the same small fleet of real processes, and src can't import from tests. The stand-in endpoint gets a method that works on a request, so that a subclass can misbehave, and a heartbeat says whether it was acknowledged; an answer that is no success is no longer read as a grant. Only ruff and mypy were run on this commit.

--- a/src/sassafraswharf_bench/provider/endpoint.py
+++ b/src/sassafraswharf_bench/provider/endpoint.py
@@ -147,8 +147,8 @@
             pause_s = RELEASE_PAUSE_S if self.releasing else self.heartbeat_s
             await asyncio.sleep(pause_s)
 
-    async def heartbeat(self) -> None:
-        """Send one heartbeat and take what its answer grants."""
+    async def heartbeat(self) -> bool:
+        """Send one heartbeat, take what its answer grants, return if it was taken."""
         self.finish_releases()
         now = time.monotonic()
         self.sequence += 1
@@ -171,10 +171,14 @@
         url = self.url("Endpoints.Heartbeat")
         assert self.session is not None
         async with self.session.post(url, data=msgspec.json.encode(body)) as response:
-            answer = msgspec.json.decode(await response.read())
+            content = await response.read()
+            if not response.ok:
+                return False
+        answer = msgspec.json.decode(content)
         self.released = [one for one in self.released if one not in reported]
         if "holds" in answer:
             self.take(answer["holds"], answer["hold_time"], now)
+        return True
 
     def take(self, rows: Iterable[list[Any]], text: str, sent_at: float) -> None:
         """Hold exactly the granted rows, counted from when the beat was sent."""
@@ -262,7 +266,7 @@
             return self.called_holds.holds_key(key, now)
         return any(one.first <= key <= one.last for one in self.held(now))
 
-    async def handle(self, request: web.BaseRequest) -> web.Response:
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Run a request, or say that it was not run."""
         headers = request.headers
         if self.called_holds is not None and request.path.startswith(ORDER_PATH):
@@ -277,22 +281,27 @@
         request_id = headers.get("Request-Id", "")
         try:
             body = await request.read()
-            self.runs.append(
-                Run(
-                    request_id,
-                    self.instance,
-                    request.method,
-                    request.raw_path,
-                    headers.get("Caller-Service", ""),
-                    body,
-                )
+            run = Run(
+                request_id,
+                self.instance,
+                request.method,
+                request.raw_path,
+                headers.get("Caller-Service", ""),
+                body,
             )
+            self.runs.append(run)
             if CRASH in request.raw_path:
                 self.crash = asyncio.create_task(self.end_abruptly())
-            await asyncio.sleep(self.work_s)
+            return await self.work(run, request, key)
         finally:
             self.running.remove(key)
             async with self.ended:
                 self.ended.notify_all()
-        signature = {"Response-Signature": self.instance, "Request-Id": request_id}
-        return web.Response(headers=signature, body=b"served " + body)
+
+    async def work(
+        self, run: Run, _request: web.BaseRequest, _key: int
+    ) -> web.StreamResponse:
+        """Work on a request and return its answer."""
+        await asyncio.sleep(self.work_s)
+        signature = {"Response-Signature": self.instance, "Request-Id": run.request_id}
+        return web.Response(headers=signature, body=b"served " + run.body)
--- a/tests/provider/harness.py
+++ b/src/sassafraswharf_bench/provider/fleet.py
@@ -21,6 +21,8 @@
     from collections.abc import Callable
     from pathlib import Path
 
+    from sassafraswharf_bench.provider.machines import Machine
+
 
 DIARY = "diary"
 BOOKING = "booking"
@@ -71,12 +73,14 @@
     def __init__(
         self, folder: Path, services: list[str], net: int, grants: str = "heartbeat"
     ) -> None:
+        """Prepare a machine for each entry of ``services`` and control hosts."""
         self.machines = Machines(folder, services, net=net, grants=grants)
         self.operator = Operator(self.machines.controls)
         self.endpoints: dict[str, Endpoint] = {}
         self.ended: list[Endpoint] = []
 
     async def start(self) -> None:
+        """Start everything and wait until requests are served."""
         self.machines.start_all()
         for machine in self.machines.routers:
             await self.start_endpoint(machine.name)
@@ -84,33 +88,41 @@
         assert status == 200
         await self.until(self.is_served, "the fleet never served")
 
-    async def start_endpoint(self, name: str) -> Endpoint:
-        machine = self.machines.machine(name)
-        endpoint = Endpoint(
+    def make_endpoint(self, machine: Machine) -> Endpoint:
+        """Return a new life of the endpoint of a machine."""
+        return Endpoint(
             machine.service,
             (machine.ip, ENDPOINT_PORT),
             (machine.ip, CONTROL_PORT),
             keyed=machine.service == DIARY,
             called=self.machines.grants == "call",
         )
+
+    async def start_endpoint(self, name: str) -> Endpoint:
+        """Begin a new life of the endpoint of a machine."""
+        endpoint = self.make_endpoint(self.machines.machine(name))
         await endpoint.start()
         self.endpoints[name] = endpoint
         return endpoint
 
     async def end_endpoint(self, name: str) -> None:
+        """End the endpoint of a machine at once."""
         endpoint = self.endpoints.pop(name)
         self.ended.append(endpoint)
         await endpoint.stop()
 
     async def stop(self) -> None:
+        """End everything that was started."""
         for name in list(self.endpoints):
             await self.end_endpoint(name)
         self.machines.stop_all()
 
     def caller(self, name: str) -> Caller:
+        """Return a caller of the router of a machine."""
         return Caller(self.machines.machine(name))
 
     async def is_served(self) -> bool:
+        """Return whether keys all over the range and bookings are served."""
         caller = self.caller(self.machines.routers[0].name)
         if not await caller.is_ready():
             return False
@@ -120,6 +132,7 @@
         return all(reply.status == 200 for reply in replies)
 
     async def until(self, check: Callable[[], Awaitable[bool]], message: str) -> None:
+        """Wait until a check holds; fail with a message after some time."""
         until = time.monotonic() + WAIT_S
         while not await check():
             assert time.monotonic() < until, message
--- a/tests/provider/test_called_grants.py
+++ b/tests/provider/test_called_grants.py
@@ -12,10 +12,10 @@
 import aiohttp
 import pytest
 
-from tests.provider.harness import BOOKING
-from tests.provider.harness import DIARY
-from tests.provider.harness import HOST
-from tests.provider.harness import Fleet
+from sassafraswharf_bench.provider.fleet import BOOKING
+from sassafraswharf_bench.provider.fleet import DIARY
+from sassafraswharf_bench.provider.fleet import HOST
+from sassafraswharf_bench.provider.fleet import Fleet
 
 
 if TYPE_CHECKING:
