Add a fault soak of real processes

The soak starts the real programs on loopback, plays overlapping series of faults that are drawn from a seed, and judges what callers, upstreams and the operator saw.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 VENV ?= .venv
 PYTHON ?= python3
 BIN := $(VENV)/bin
+SEED ?= 1
 
 .DEFAULT_GOAL := help
 
@@ -43,3 +44,7 @@
 .PHONY: capacity
 capacity: install ## Measure the slopes and print the capacity table.
 	$(BIN)/python -m sassafraswharf_bench.capacity
+
+.PHONY: soak
+soak: install ## Run 50 seeds of the fault soak; each takes about a minute.
+	$(BIN)/python -m sassafraswharf_bench.soak --seed $(SEED) --seeds 50
--- a/src/sassafraswharf_bench/provider/fleet.py
+++ b/src/sassafraswharf_bench/provider/fleet.py
@@ -71,9 +71,15 @@
     """Machines, endpoints and an operator."""
 
     def __init__(
-        self, folder: Path, services: list[str], net: int, grants: str = "heartbeat"
+        self,
+        folder: Path,
+        services: list[str],
+        net: int,
+        grants: str = "heartbeat",
+        first: dict[str, Any] | None = None,
     ) -> None:
         """Prepare a machine for each entry of ``services`` and control hosts."""
+        self.first = first or document(1, 0)
         self.machines = Machines(folder, services, net=net, grants=grants)
         self.operator = Operator(self.machines.controls)
         self.endpoints: dict[str, Endpoint] = {}
@@ -84,7 +90,7 @@
         self.machines.start_all()
         for machine in self.machines.routers:
             await self.start_endpoint(machine.name)
-        status = await self.operator.replace(document(1, 0), WAIT_S)
+        status = await self.operator.replace(self.first, WAIT_S)
         assert status == 200
         await self.until(self.is_served, "the fleet never served")
 
--- /dev/null
+++ b/src/sassafraswharf_bench/soak/configuration_checks.py
@@ -0,0 +1,81 @@
+"""Checks of the configuration: nothing acknowledged reverts or is lost."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import Final
+
+from sassafraswharf_bench.soak.break_record import Break
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from sassafraswharf_bench.soak.ledger import Ledger
+
+
+APPLY_S: Final = 2.0
+"""Reads that are sent this long after an acknowledgement show it."""
+ACKNOWLEDGED: Final = 200
+CONTENT: Final = ("routes", "services", "limits")
+
+
+def check_changes(ledger: Ledger) -> Iterator[Break]:
+    """Yield two acknowledged changes on top of the same version."""
+    by_base: dict[int, int] = {}
+    for change in ledger.changes:
+        if change.status != ACKNOWLEDGED:
+            continue
+        other = by_base.setdefault(change.base, change.version)
+        if other != change.version:
+            text = f"{other} and {change.version} build on {change.base}"
+            yield Break("CONFIG", "operator", f"both acknowledged: {text}")
+
+
+def check_reads(ledger: Ledger) -> Iterator[Break]:
+    """Yield reads that are too old, refused or not what was sent."""
+    acknowledged = [one for one in ledger.changes if one.status == ACKNOWLEDGED]
+    sent = {one.version: one for one in ledger.changes}
+    refused = {one.version for one in ledger.changes if 400 <= one.status < 500}
+    reads = [*ledger.reads, *([ledger.final] if ledger.final else [])]
+    for read in reads:
+        slack_s = 0.0 if read is ledger.final else APPLY_S
+        due = [
+            one.version
+            for one in acknowledged
+            if one.answered_at + slack_s < read.sent_at
+        ]
+        if due and read.version < max(due):
+            text = f"version {read.version} after {max(due)} was acknowledged"
+            yield Break("CONFIG", read.host, text)
+        if read.version in refused:
+            yield Break("CONFIG", read.host, f"refused {read.version} is in force")
+        change = sent.get(read.version)
+        if change is not None and content(change.document) != content(read.document):
+            yield Break("CONFIG", read.host, f"{read.version} isn't what was sent")
+    if ledger.final is None:
+        yield Break("CONFIG", "operator", "no control host returns the configuration")
+
+
+def content(document: dict[str, Any]) -> list[Any]:
+    """Return what a configuration says, in an order of its own."""
+    parts: list[Any] = []
+    for name in CONTENT:
+        part = document.get(name, {})
+        if isinstance(part, list):
+            part = sorted(part, key=lambda one: str(one["name"]))
+        parts.append(part)
+    return parts
+
+
+def check_routes(ledger: Ledger) -> Iterator[Break]:
+    """Yield routers that end with other routes than the configuration has."""
+    if ledger.final is None:
+        return
+    routes = {one["name"] for one in ledger.final.document["routes"]}
+    for probe in ledger.probes:
+        expected = 200 if probe.name in routes else 404
+        if probe.status != expected:
+            text = f"{probe.name} answers {probe.status}, {expected} is expected"
+            yield Break("CONFIG", probe.host, text)
--- /dev/null
+++ b/src/sassafraswharf_bench/soak/disturbances.py
@@ -0,0 +1,83 @@
+"""When machines were disturbed, which decides where promises bind."""
+
+from __future__ import annotations
+
+import math
+
+from collections import defaultdict
+from typing import TYPE_CHECKING
+from typing import Final
+from typing import NamedTuple
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from sassafraswharf_bench.soak.ledger import Ledger
+    from sassafraswharf_bench.soak.ledger import Signal
+
+
+CONTACT_S: Final = 3.0
+"""A machine is in touch once nothing has disturbed it for this long."""
+CONTROL_PREFIX: Final = "core-"
+CLOSED_BY: Final = {
+    "term": "start",
+    "kill": "start",
+    "ended": "start",
+    "freeze": "thaw",
+    "start": "start",
+}
+UNPLANNED: Final = frozenset({"kill", "ended", "freeze"})
+
+
+class Span(NamedTuple):
+    """A disturbance of a machine."""
+
+    kind: str
+    first: float
+    last: float
+
+
+class Disturbances:
+    """Knows the disturbances of all machines of a run."""
+
+    def __init__(self, ledger: Ledger) -> None:
+        """Join the signals to spans."""
+        signals: dict[str, list[Signal]] = defaultdict(list)
+        for signal in sorted(ledger.signals, key=lambda one: one.at):
+            signals[signal.host].append(signal)
+        self.spans = {host: list(spans(found)) for host, found in signals.items()}
+        self.controls = [one for one in self.spans if one.startswith(CONTROL_PREFIX)]
+
+    def is_disturbed(
+        self, host: str, first: float, last: float, kinds: Iterable[str] = CLOSED_BY
+    ) -> bool:
+        """Return whether a machine was disturbed in a time or shortly before."""
+        wanted = frozenset(kinds)
+        return any(
+            span.kind in wanted
+            and span.first <= last
+            and span.last >= first - CONTACT_S
+            for span in self.spans.get(host, ())
+        )
+
+    def is_in_touch(self, host: str, first: float, last: float) -> bool:
+        """Return whether a machine is in touch all through a time."""
+        return not any(
+            self.is_disturbed(one, first, last) for one in (host, *self.controls)
+        )
+
+    def times(self, host: str, kind: str) -> list[float]:
+        """Return when disturbances of a kind began at a machine."""
+        return [one.first for one in self.spans.get(host, ()) if one.kind == kind]
+
+
+def spans(signals: list[Signal]) -> Iterable[Span]:
+    """Return a span for each signal of one machine, until it is over."""
+    for position, signal in enumerate(signals):
+        closed_by = CLOSED_BY.get(signal.kind, signal.kind)
+        if closed_by == signal.kind:
+            yield Span(signal.kind, signal.at, signal.at)
+            continue
+        later = (one.at for one in signals[position:] if one.kind == closed_by)
+        yield Span(signal.kind, signal.at, next(later, math.inf))
--- /dev/null
+++ b/src/sassafraswharf_bench/soak/injector.py
@@ -0,0 +1,196 @@
+"""Does to processes and upstreams what a schedule says."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+
+from collections import defaultdict
+from typing import TYPE_CHECKING
+from typing import Final
+
+from sassafraswharf_bench.soak.ledger import Signal
+from sassafraswharf_bench.soak.schedule import CONFIGURATION
+from sassafraswharf_bench.soak.schedule import KINDS
+from sassafraswharf_bench.soak.schedule import UPSTREAM
+from sassafraswharf_bench.soak.stop_checks import GRACE_S
+from sassafraswharf_bench.soak.upstream_checks import DRAIN_S
+
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+    from collections.abc import Sequence
+
+    from sassafraswharf_bench.soak.configuration import Changes
+    from sassafraswharf_bench.soak.fault import Fault
+    from sassafraswharf_bench.soak.fleet import SoakFleet
+
+
+POLL_S: Final = 0.02
+RESTART_S: Final = 0.5
+"""The provider restarts a process that ended by itself after a short delay."""
+SETTLED_S: Final = 2.0
+"""A process that is this young may not handle SIGHUP yet."""
+ACKNOWLEDGE_S: Final = 4.0
+"""An upstream whose leave isn't acknowledged for so long ends anyway."""
+
+
+class Injector:
+    """Plays the faults of a schedule at their times."""
+
+    def __init__(self, fleet: SoakFleet, changes: Changes) -> None:
+        """Act on a fleet that serves."""
+        self.fleet = fleet
+        self.machines = fleet.machines
+        self.changes = changes
+        self.ledger = fleet.ledger
+        self.locks: dict[tuple[str, str], asyncio.Lock] = defaultdict(asyncio.Lock)
+        self.expected_down: set[str] = set()
+        self.started_at = dict.fromkeys(self.machines.processes, 0.0)
+        self.actions: dict[str, Callable[[Fault], Awaitable[None]]] = {
+            "stop": self.stop,
+            "kill": self.kill,
+            "pause": self.pause,
+            "hangup": self.hangup,
+            "control_stop": self.stop,
+            "control_kill": self.kill,
+            "control_pause": self.pause,
+            "drain": self.drain,
+            "deregister": self.deregister,
+            "crash": self.crash,
+            "lose": self.misbehave,
+            "cut": self.misbehave,
+            "repeat_answer": self.misbehave,
+            "silence": self.misbehave,
+            "change_timeout": self.change,
+            "change_idle": self.change,
+            "add_route": self.change,
+            "remove_route": self.change,
+            "race": self.change,
+        }
+
+    async def play(self, faults: Sequence[Fault]) -> None:
+        """Play all faults; end when the last one is over."""
+        began = time.monotonic()
+        async with asyncio.TaskGroup() as group:
+            for fault in faults:
+                group.create_task(self.inject(fault, began + fault.at_s))
+
+    async def inject(self, fault: Fault, at: float) -> None:
+        """Play one fault, after another one of the same kind on its target."""
+        await asyncio.sleep(max(0.0, at - time.monotonic()))
+        place = KINDS[fault.kind].place
+        if place == CONFIGURATION or fault.kind == "hangup":
+            await self.actions[fault.kind](fault)
+            return
+        part = UPSTREAM if place == UPSTREAM else "process"
+        async with self.locks[part, fault.target]:
+            await self.actions[fault.kind](fault)
+
+    def record(self, host: str, kind: str) -> None:
+        """Record what is done to a process."""
+        self.ledger.signals.append(Signal(host, kind, time.monotonic()))
+
+    # Processes.
+
+    async def has_ended(self, name: str, timeout_s: float) -> bool:
+        """Wait for the end of a process; return whether it has ended."""
+        until = time.monotonic() + timeout_s
+        while self.machines.processes[name].poll() is None:
+            if time.monotonic() >= until:
+                return False
+            await asyncio.sleep(POLL_S)
+        return True
+
+    async def restart(self, name: str, after_s: float) -> None:
+        """Start a process that was ended."""
+        await asyncio.sleep(after_s)
+        self.machines.start(name)
+        self.record(name, "start")
+        self.started_at[name] = time.monotonic()
+        self.expected_down.discard(name)
+
+    async def stop(self, fault: Fault) -> None:
+        """Stop a process as planned, kill it at the end of the grace, restart it."""
+        name = fault.target
+        self.expected_down.add(name)
+        self.record(name, "term")
+        self.machines.signal(name, signal.SIGTERM)
+        if not await self.has_ended(name, GRACE_S):
+            self.record(name, "overrun")
+            self.machines.kill(name)
+        await self.restart(name, fault.length_s)
+
+    async def kill(self, fault: Fault) -> None:
+        """Kill a process and restart it."""
+        name = fault.target
+        self.expected_down.add(name)
+        self.record(name, "kill")
+        self.machines.kill(name)
+        await self.restart(name, fault.length_s)
+
+    async def pause(self, fault: Fault) -> None:
+        """Stop a process from running for a time."""
+        self.record(fault.target, "freeze")
+        self.machines.signal(fault.target, signal.SIGSTOP)
+        await asyncio.sleep(fault.length_s)
+        self.machines.signal(fault.target, signal.SIGCONT)
+        self.record(fault.target, "thaw")
+
+    async def hangup(self, fault: Fault) -> None:
+        """Tell a process that its settings may have changed."""
+        if time.monotonic() - self.started_at[fault.target] < SETTLED_S:
+            return
+        self.record(fault.target, "hangup")
+        self.machines.signal(fault.target, signal.SIGHUP)
+
+    async def watch(self) -> None:
+        """Record and restart processes that end by themselves."""
+        while True:
+            await asyncio.sleep(RESTART_S)
+            for name, process in list(self.machines.processes.items()):
+                if name in self.expected_down or process.poll() is None:
+                    continue
+                self.record(name, "ended")
+                await self.restart(name, 0.0)
+
+    # Upstreams.
+
+    async def drain(self, fault: Fault) -> None:
+        """Let an upstream say that it drains, deregister, end and come back."""
+        upstream = self.fleet.upstreams[fault.target]
+        upstream.state = "draining"
+        if await upstream.has_left(ACKNOWLEDGE_S):
+            await asyncio.sleep(DRAIN_S + fault.length_s)
+        await upstream.leave()
+        await self.replace_upstream(fault)
+
+    async def deregister(self, fault: Fault) -> None:
+        """Let an upstream deregister, serve for a while, end and come back."""
+        upstream = self.fleet.upstreams[fault.target]
+        if await upstream.leave():
+            await asyncio.sleep(DRAIN_S + fault.length_s)
+        await self.replace_upstream(fault)
+
+    async def crash(self, fault: Fault) -> None:
+        """End an upstream with its connections and begin a new life."""
+        await self.replace_upstream(fault)
+
+    async def replace_upstream(self, fault: Fault) -> None:
+        """End an upstream and begin a new life."""
+        await self.fleet.end_endpoint(fault.target)
+        await asyncio.sleep(fault.length_s)
+        await self.fleet.start_endpoint(fault.target)
+
+    async def misbehave(self, fault: Fault) -> None:
+        """Let an upstream break some of its answers for a time."""
+        upstream = self.fleet.upstreams[fault.target]
+        upstream.trouble = fault.kind
+        await asyncio.sleep(fault.length_s)
+        upstream.trouble = ""
+
+    async def change(self, fault: Fault) -> None:
+        """Change the configuration."""
+        await self.changes.change(fault.kind)
--- /dev/null
+++ b/src/sassafraswharf_bench/soak/soak_run.py
@@ -0,0 +1,132 @@
+"""Plays one schedule against real processes and judges what was seen."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+
+from typing import TYPE_CHECKING
+from typing import Final
+
+from sassafraswharf_bench.provider.fleet import HOST
+from sassafraswharf_bench.soak.caller import STYLES
+from sassafraswharf_bench.soak.caller import SoakCaller
+from sassafraswharf_bench.soak.configuration import EXTRA_PREFIX
+from sassafraswharf_bench.soak.configuration import Changes
+from sassafraswharf_bench.soak.configuration import first_document
+from sassafraswharf_bench.soak.configuration import read_once
+from sassafraswharf_bench.soak.fleet import SoakFleet
+from sassafraswharf_bench.soak.injector import Injector
+from sassafraswharf_bench.soak.ledger import Ledger
+from sassafraswharf_bench.soak.ledger import RouteProbe
+
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+    from pathlib import Path
+
+    from sassafraswharf_bench.provider.machines import Machine
+    from sassafraswharf_bench.soak.fault import Fault
+
+
+RECOVERY_S: Final = 15.0
+CALM_S: Final = 4.0
+"""After the last fault callers go on until every machine was in touch again."""
+PROBE_ATTEMPTS: Final = 5
+PAUSE_S: Final = 0.2
+LAG_CHECK_S: Final = 0.05
+
+
+class SoakRun:
+    """One run of the soak: a fleet, its callers and the faults."""
+
+    def __init__(self, seed: int, hosts: int, net: int, folder: Path) -> None:
+        """Prepare a run in a folder of its own."""
+        self.seed = seed
+        self.ledger = Ledger()
+        self.fleet = SoakFleet(folder, hosts, net, self.ledger, first_document())
+        self.changes = Changes(seed, self.fleet.operator, self.ledger)
+
+    async def play(self, faults: Sequence[Fault]) -> Ledger:
+        """Play the faults and return what was seen."""
+        try:
+            await self.fleet.start()
+            await self.play_beside_callers(faults)
+            await self.look_at_the_end()
+        finally:
+            await self.fleet.stop()
+        return self.ledger
+
+    async def play_beside_callers(self, faults: Sequence[Fault]) -> None:
+        """Play the faults while callers and readers go on."""
+        stopping = asyncio.Event()
+        injector = Injector(self.fleet, self.changes)
+        machines = self.fleet.machines
+        callers = [
+            SoakCaller(self.seed, machine, style, number, self.ledger).run(stopping)
+            for machine in machines.routers
+            for style in STYLES
+            for number in range(style.callers)
+        ]
+        watching = [
+            asyncio.create_task(injector.watch()),
+            asyncio.create_task(self.watch_lag()),
+        ]
+        try:
+            async with asyncio.TaskGroup() as group:
+                for caller in callers:
+                    group.create_task(caller)
+                group.create_task(self.changes.read_on(machines.controls, stopping))
+                await injector.play(faults)
+                self.ledger.is_recovered = await self.is_served_again()
+                await asyncio.sleep(CALM_S)
+                stopping.set()
+        finally:
+            for task in watching:
+                task.cancel()
+            await asyncio.wait(watching)
+
+    async def is_served_again(self) -> bool:
+        """Return whether requests are served in time after the last fault."""
+        until = time.monotonic() + RECOVERY_S
+        while time.monotonic() < until:
+            if await self.fleet.is_served():
+                return True
+            await asyncio.sleep(PAUSE_S)
+        return False
+
+    async def look_at_the_end(self) -> None:
+        """Read the configuration and ask each router for every added route."""
+        until = time.monotonic() + RECOVERY_S
+        controls = self.fleet.machines.controls
+        turn = 0
+        while self.ledger.final is None and time.monotonic() < until:
+            self.ledger.final = await read_once(controls[turn % len(controls)])
+            turn += 1
+            await asyncio.sleep(PAUSE_S)
+        names = [f"{EXTRA_PREFIX}{one + 1}" for one in range(self.changes.extras)]
+        for machine in self.fleet.machines.routers:
+            self.ledger.probes += await asyncio.gather(
+                *(self.probe(machine, name) for name in names)
+            )
+
+    async def probe(self, machine: Machine, name: str) -> RouteProbe:
+        """Ask a router for an added route until it gives a clear answer."""
+        status = 0
+        for _ in range(PROBE_ATTEMPTS):
+            caller = self.fleet.caller(machine.name)
+            status = (await caller.send("GET", f"/{name}/x", HOST)).status
+            if status in {200, 404}:
+                break
+            await asyncio.sleep(PAUSE_S)
+        return RouteProbe(machine.name, name, status)
+
+    async def watch_lag(self) -> None:
+        """Measure how late this process runs, which blurs the times it records."""
+        with contextlib.suppress(asyncio.CancelledError):
+            while True:
+                before = time.monotonic()
+                await asyncio.sleep(LAG_CHECK_S)
+                lag_s = time.monotonic() - before - LAG_CHECK_S
+                self.ledger.loop_lag_s = max(self.ledger.loop_lag_s, lag_s)
--- /dev/null
+++ b/src/sassafraswharf_bench/soak/stop_checks.py
@@ -0,0 +1,134 @@
+"""Checks of requests around planned stops, and of processes that end."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Final
+from typing import NamedTuple
+
+from sassafraswharf_bench.soak.break_record import Break
+from sassafraswharf_bench.soak.disturbances import UNPLANNED
+from sassafraswharf_bench.soak.disturbances import Disturbances
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from sassafraswharf_bench.soak.ledger import Exchange
+    from sassafraswharf_bench.soak.ledger import Ledger
+    from sassafraswharf_bench.soak.ledger import RunRecord
+
+
+GRACE_S: Final = 6.0
+AFTER_GRACE_S: Final = 1.0
+LOSS_SLACK_S: Final = 0.2
+"""A request that was sent this long before its connection ends has been read."""
+LATE_WORK_S: Final = GRACE_S * 5 / 6
+"""Work that lasts into the rest of the grace may be broken off."""
+EARLY_REQUEST_S: Final = 3.0
+APPLY_S: Final = 2.0
+"""Changed settings are in force this long after a SIGHUP."""
+FREE_LOSSES: Final = 3
+"""So many requests may be lost beside planned work."""
+SOUND: Final = frozenset({"whole", "given_up"})
+
+
+class Loss(NamedTuple):
+    """A request that an upstream had or a router had read, without its answer."""
+
+    exchange: Exchange
+    runs: list[RunRecord]
+    text: str
+
+
+def check_losses(ledger: Ledger) -> Iterator[Break]:
+    """Yield requests that were lost around planned work, or too many besides."""
+    disturbances = Disturbances(ledger)
+    besides = []
+    for loss in losses(ledger):
+        exchange = loss.exchange
+        if planned := planned_work(loss, disturbances):
+            text = f"{loss.text} at {exchange.host}, {planned}"
+            yield Break("LOST", exchange.request_id, text)
+            continue
+        first, last = exchange.sent_at, exchange.ended_at
+        is_cut = exchange.kept and loss.runs and exchange.outcome != "answered"
+        if is_cut and disturbances.is_in_touch(exchange.host, first, last):
+            besides.append(loss)
+    for loss in besides[FREE_LOSSES:]:
+        text = f"{loss.text} at {loss.exchange.host}, beside planned work"
+        yield Break("LOST", loss.exchange.request_id, text)
+
+
+def losses(ledger: Ledger) -> Iterator[Loss]:
+    """Yield requests that ended without the answer of a sound upstream."""
+    all_runs = ledger.runs_by_id()
+    for exchange in ledger.exchanges:
+        runs = all_runs[exchange.request_id]
+        took_s = exchange.ended_at - exchange.sent_at
+        if took_s >= exchange.deadline_s or any(
+            run.result not in SOUND for run in runs
+        ):
+            continue
+        text = what_was_lost(exchange, runs, took_s)
+        if text is not None:
+            yield Loss(exchange, runs, text)
+
+
+def what_was_lost(
+    exchange: Exchange, runs: list[RunRecord], took_s: float
+) -> str | None:
+    """Return how a request was lost, ``None`` if it wasn't.
+
+    ``unsent`` requests lie behind another one on their connection.
+    """
+    places = [(run.host, run.result) for run in runs]
+    if exchange.outcome in {"cut", "unsent"} and runs:
+        return f"passed on to {places}, connection ended after {took_s:.3f} s"
+    if exchange.outcome == "cut" and took_s > LOSS_SLACK_S:
+        return f"not passed on, connection ended after {took_s:.3f} s"
+    is_broken_off = any(run.result == "given_up" for run in runs)
+    if exchange.outcome == "answered" and exchange.status >= 500 and is_broken_off:
+        return f"passed on to {places}, answered with {exchange.status}"
+    return None
+
+
+def planned_work(loss: Loss, disturbances: Disturbances) -> str | None:
+    """Return the planned work that binds for a loss, ``None`` if there is none."""
+    exchange = loss.exchange
+    hosts = {exchange.host, *(run.host for run in loss.runs)}
+    first, last = exchange.sent_at, exchange.ended_at
+    if any(disturbances.is_disturbed(one, first, last, UNPLANNED) for one in hosts):
+        return None
+    # An answer of one's own in place of the upstream's counts where the stop is.
+    where = hosts if exchange.outcome == "answered" else {exchange.host}
+    for host in where:
+        for at in disturbances.times(host, "term"):
+            is_beside = at <= last <= at + GRACE_S + AFTER_GRACE_S
+            if is_beside and not is_late_work(loss, at):
+                sent = exchange.sent_at - at
+                return f"sent {sent:+.3f} s, ended {last - at:+.3f} s from SIGTERM"
+    for at in disturbances.times(exchange.host, "hangup"):
+        if first <= at + APPLY_S and at <= last <= at + APPLY_S:
+            return f"ended {last - at:.3f} s after SIGHUP"
+    return None
+
+
+def is_late_work(loss: Loss, stopped_at: float) -> bool:
+    """Return whether an early request was at work in the last part of the grace."""
+    if loss.exchange.sent_at > stopped_at + EARLY_REQUEST_S:
+        return False
+    return any(
+        run.begun_at <= stopped_at + GRACE_S
+        and run.ended_at >= stopped_at + LATE_WORK_S
+        for run in loss.runs
+    )
+
+
+def check_processes(ledger: Ledger) -> Iterator[Break]:
+    """Yield processes that ended by themselves, and service that stayed away."""
+    for signal in ledger.signals:
+        if signal.kind == "ended":
+            yield Break("FAULT", signal.host, "the process ended by itself")
+    if not ledger.is_recovered:
+        yield Break("RECOVER", "fleet", "requests are not served after the last fault")
--- /dev/null
+++ b/src/sassafraswharf_bench/soak/upstream_checks.py
@@ -0,0 +1,91 @@
+"""Checks of what upstreams hold and get: one owner a key, leaves are respected."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Final
+
+from sassafraswharf_bench.soak.break_record import Break
+from sassafraswharf_bench.soak.disturbances import Disturbances
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from sassafraswharf_bench.soak.ledger import HoldPeriod
+    from sassafraswharf_bench.soak.ledger import Ledger
+    from sassafraswharf_bench.soak.ledger import RunRecord
+
+
+DRAIN_S: Final = 2.0
+THAW_S: Final = 0.3
+"""Grants that arrive this soon after their router was thawed don't count."""
+MAX_IDLE_OVERLAP_S: Final = 0.5
+"""Two upstreams may hold a key this long if not both begin requests."""
+
+
+def check_owners(ledger: Ledger) -> Iterator[Break]:
+    """Yield keys with two holders, and grants whose fence isn't the highest."""
+    disturbances = Disturbances(ledger)
+    thaws = {
+        signal_host: [span.last for span in spans if span.kind == "freeze"]
+        for signal_host, spans in disturbances.spans.items()
+    }
+    periods = [
+        period
+        for period in sorted(ledger.holds, key=lambda one: one.since)
+        if not any(
+            0 <= period.since - at <= THAW_S for at in thaws.get(period.host, ())
+        )
+    ]
+    for position, later in enumerate(periods):
+        for earlier in periods[:position]:
+            if earlier.instance == later.instance or not share_keys(earlier, later):
+                continue
+            keys = f"{max(earlier.first, later.first)}-{min(earlier.last, later.last)}"
+            if later.fence <= earlier.fence:
+                text = f"{later} has no higher fence than {earlier}"
+                yield Break("OWNER", keys, text)
+            if is_doubly_held(earlier, later, ledger.runs):
+                yield Break("OWNER", keys, f"{earlier} beside {later}")
+
+
+def share_keys(one: HoldPeriod, other: HoldPeriod) -> bool:
+    """Return whether two periods have keys in common."""
+    return one.first <= other.last and other.first <= one.last
+
+
+def is_doubly_held(
+    earlier: HoldPeriod, later: HoldPeriod, runs: list[RunRecord]
+) -> bool:
+    """Return whether two upstreams hold keys for long, or both use them."""
+    until = min(earlier.until, later.until)
+    if until <= later.since:
+        return False
+    if until - later.since > MAX_IDLE_OVERLAP_S:
+        return True
+    first, last = max(earlier.first, later.first), min(earlier.last, later.last)
+    users = {
+        run.instance
+        for run in runs
+        if later.since <= run.begun_at <= until and first <= run.key <= last
+    }
+    return {earlier.instance, later.instance} <= users
+
+
+def check_leaves(ledger: Ledger) -> Iterator[Break]:
+    """Yield requests that reach an upstream which has left."""
+    disturbances = Disturbances(ledger)
+    left_at = {one.instance: one.acknowledged_at for one in ledger.leaves}
+    sent = {one.request_id: one for one in ledger.exchanges}
+    for run in ledger.runs:
+        exchange = sent.get(run.request_id)
+        if run.instance not in left_at or exchange is None:
+            continue
+        after_s = run.begun_at - left_at[run.instance]
+        hosts = (exchange.host, run.host)
+        if after_s > DRAIN_S and all(
+            disturbances.is_in_touch(host, run.begun_at, run.begun_at) for host in hosts
+        ):
+            text = f"reached {run.host} {after_s:.3f} s after it left, from {hosts[0]}"
+            yield Break("DRAIN", run.request_id, text)
--- /dev/null
+++ b/tests/sassafraswharf_bench/soak/__init__.py
@@ -0,0 +1,1 @@
+from __future__ import annotations
--- /dev/null
+++ b/tests/sassafraswharf_bench/soak/test_soak_run.py
@@ -0,0 +1,45 @@
+from __future__ import annotations
+
+import json
+
+from typing import TYPE_CHECKING
+
+from sassafraswharf_bench.soak.__main__ import main
+
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    import pytest
+
+
+SEED = 21
+SECONDS = 15
+NET = 70
+
+
+def test_a_short_run_breaks_no_promise(tmp_path: Path) -> None:
+    """Guards against promises that break between real processes.
+
+    The faults of this seed begin with planned stops of all routers in a series; on
+    d053b5e it lost 8 and 9 requests, sent 4.2 s and more after SIGTERM, in two plays.
+    """
+    report = tmp_path / "report.jsonl"
+    words = ["--seed", str(SEED), "--seconds", str(SECONDS), "--net", str(NET)]
+    status = main([*words, "--report", str(report), "--logs", str(tmp_path / "logs")])
+    found = json.loads(report.read_text())
+    assert status == 0
+    assert found["breaks"] == 0
+    assert found["served"] > found["requests"] / 2
+
+
+def test_a_schedule_is_printed_and_read_again(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guards against a seed whose faults can't be read or shortened by hand."""
+    assert main(["--seed", "7", "--print"]) == 0
+    printed = capsys.readouterr().out
+    kept = tmp_path / "schedule.jsonl"
+    kept.write_text(printed)
+    assert main(["--play", str(kept), "--print"]) == 0
+    assert capsys.readouterr().out == printed
