Harm the links to upstreams in the fault soak

A loopback proxy before each upstream delays, resets or silences one way what passes between it and its router.

--- a/src/sassafraswharf_bench/provider/endpoint.py
+++ b/src/sassafraswharf_bench/provider/endpoint.py
@@ -77,6 +77,7 @@
         self.orders: set[asyncio.Task[web.Response]] = set()
         self.service = service
         self.address = address
+        self.listen_address = address
         self.control = control
         self.keyed = keyed
         self.slots = slots
@@ -106,7 +107,7 @@
         self.server = web.Server(self.handle, handler_cancellation=True)
         self.runner = web.ServerRunner(self.server)
         await self.runner.setup()
-        self.site = web.TCPSite(self.runner, *self.address)
+        self.site = web.TCPSite(self.runner, *self.listen_address)
         await self.site.start()
         self.session = aiohttp.ClientSession(
             timeout=aiohttp.ClientTimeout(total=ANSWER_TIMEOUT_S)
--- a/src/sassafraswharf_bench/soak/disturbances.py
+++ b/src/sassafraswharf_bench/soak/disturbances.py
@@ -25,9 +25,10 @@
     "kill": "start",
     "ended": "start",
     "freeze": "thaw",
+    "harm": "heal",
     "start": "start",
 }
-UNPLANNED: Final = frozenset({"kill", "ended", "freeze"})
+UNPLANNED: Final = frozenset({"kill", "ended", "freeze", "harm"})
 
 
 class Span(NamedTuple):
--- a/src/sassafraswharf_bench/soak/injector.py
+++ b/src/sassafraswharf_bench/soak/injector.py
@@ -64,6 +64,10 @@
             "cut": self.misbehave,
             "repeat_answer": self.misbehave,
             "silence": self.misbehave,
+            "link_delay": self.harm_link,
+            "link_reset": self.reset_link,
+            "link_silence_up": self.harm_link,
+            "link_silence_down": self.harm_link,
             "change_timeout": self.change,
             "change_idle": self.change,
             "add_route": self.change,
@@ -191,6 +195,21 @@
         await asyncio.sleep(fault.length_s)
         upstream.trouble = ""
 
+    async def harm_link(self, fault: Fault) -> None:
+        """Hold up what passes between an upstream and its router."""
+        link = self.fleet.upstreams[fault.target].link
+        self.record(fault.target, "harm")
+        link.harm(fault.kind)
+        await asyncio.sleep(fault.length_s)
+        link.heal()
+        self.record(fault.target, "heal")
+
+    async def reset_link(self, fault: Fault) -> None:
+        """Reset the connections between an upstream and its router."""
+        self.record(fault.target, "harm")
+        self.fleet.upstreams[fault.target].link.reset()
+        self.record(fault.target, "heal")
+
     async def change(self, fault: Fault) -> None:
         """Change the configuration."""
         await self.changes.change(fault.kind)
--- a/src/sassafraswharf_bench/soak/ledger.py
+++ b/src/sassafraswharf_bench/soak/ledger.py
@@ -81,7 +81,8 @@
     """Something that was done to a process, or that it did by itself.
 
     ``kind`` is ``term``, ``kill``, ``overrun`` (killed at the end of the grace),
-    ``ended`` (by itself), ``start``, ``freeze``, ``thaw`` or ``hangup``.
+    ``ended`` (by itself), ``start``, ``freeze``, ``thaw``, ``hangup``, or ``harm`` and
+    ``heal`` for the link to its upstream.
     """
 
     host: str
--- a/src/sassafraswharf_bench/soak/stop_checks.py
+++ b/src/sassafraswharf_bench/soak/stop_checks.py
@@ -52,8 +52,9 @@
             yield Break("LOST", exchange.request_id, text)
             continue
         first, last = exchange.sent_at, exchange.ended_at
+        hosts = {exchange.host, *(run.host for run in loss.runs)}
         is_cut = exchange.kept and loss.runs and exchange.outcome != "answered"
-        if is_cut and disturbances.is_in_touch(exchange.host, first, last):
+        if is_cut and all(disturbances.is_in_touch(one, first, last) for one in hosts):
             besides.append(loss)
     for loss in besides[FREE_LOSSES:]:
         text = f"{loss.text} at {loss.exchange.host}, beside planned work"
--- a/src/sassafraswharf_bench/soak/upstream.py
+++ b/src/sassafraswharf_bench/soak/upstream.py
@@ -22,6 +22,7 @@
 from sassafraswharf_bench.soak.ledger import HoldPeriod
 from sassafraswharf_bench.soak.ledger import Leave
 from sassafraswharf_bench.soak.ledger import RunRecord
+from sassafraswharf_bench.soak.link_proxy import LinkProxy
 
 
 if TYPE_CHECKING:
@@ -31,6 +32,8 @@
 
 
 SLOTS: Final = 20
+BEHIND_LINK: Final = 10
+"""The upstream listens at a port so much higher than the one that it announces."""
 LEAVE_POLL_S: Final = 0.05
 SILENCE_S: Final = 30.0
 """Longer than any caller waits."""
@@ -71,11 +74,18 @@
         super().__init__(service, address, control, keyed=keyed, slots=SLOTS)
         self.host = host
         self.ledger = ledger
+        self.listen_address = (address[0], address[1] + BEHIND_LINK)
+        self.link = LinkProxy(address, self.listen_address)
         self.trouble = ""
         self.ending = False
         self.served = 0
         self.open_periods: dict[tuple[int, int, int], HoldPeriod] = {}
 
+    async def start(self) -> None:
+        """Listen behind a link and announce."""
+        await super().start()
+        await self.link.start()
+
     async def heartbeat(self) -> bool:
         """Send one heartbeat and record an acknowledged leave."""
         says_draining = self.state == "draining"
@@ -109,6 +119,7 @@
         """End this life with its connections, and what it holds."""
         self.ending = True
         await self.end_abruptly()
+        await self.link.stop()
         await self.stop()
         self.follow_holds([], time.monotonic())
 
--- a/tests/sassafraswharf_bench/soak/test_checks.py
+++ b/tests/sassafraswharf_bench/soak/test_checks.py
@@ -239,6 +239,13 @@
         GIVEN_UP,
         cut(),
     ],
+    "a run behind a harmed link": [
+        TERM,
+        Signal(OTHER, "harm", SENT_AT - 0.5),
+        Signal(OTHER, "heal", SENT_AT + 0.3),
+        run(host=OTHER, result="given_up"),
+        cut(),
+    ],
     "holders one after the other": [hold("i-1", 1.0, 4.0), hold("i-2", 4.0, 9.0, 2)],
     "a grant right after a thaw": [
         Signal(OTHER, "freeze", 2.0),
