--- a/src/sassafraswharf_bench/soak/fleet.py
+++ b/src/sassafraswharf_bench/soak/fleet.py
@@ -34,10 +34,16 @@
     """Machines with upstreams that write to a ledger."""
 
     def __init__(
-        self, folder: Path, hosts: int, net: int, ledger: Ledger, first: dict[str, Any]
+        self,
+        folder: Path,
+        hosts: int,
+        net: int,
+        grants: str,
+        ledger: Ledger,
+        first: dict[str, Any],
     ) -> None:
         """Prepare control hosts and so many routers."""
-        super().__init__(folder, services(hosts), net, first=first)
+        super().__init__(folder, services(hosts), net, grants, first)
         self.ledger = ledger
         self.upstreams: dict[str, Upstream] = {}
 
@@ -49,6 +55,7 @@
             (machine.ip, ENDPOINT_PORT),
             (machine.ip, CONTROL_PORT),
             keyed=machine.service == DIARY,
+            called=self.machines.grants == "call",
             ledger=self.ledger,
         )
         self.upstreams[machine.name] = upstream
--- a/src/sassafraswharf_bench/soak/upstream.py
+++ b/src/sassafraswharf_bench/soak/upstream.py
@@ -28,6 +28,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from sassafraswharf_bench.provider.called_holds import CalledHolds
     from sassafraswharf_bench.soak.ledger import Ledger
 
 
@@ -68,10 +69,13 @@
         control: tuple[str, int],
         *,
         keyed: bool,
+        called: bool,
         ledger: Ledger,
     ) -> None:
         """Prepare a new life."""
-        super().__init__(service, address, control, keyed=keyed, slots=SLOTS)
+        super().__init__(
+            service, address, control, keyed=keyed, slots=SLOTS, called=called
+        )
         self.host = host
         self.ledger = ledger
         self.listen_address = (address[0], address[1] + BEHIND_LINK)
@@ -130,6 +134,28 @@
         super().take(rows, text, sent_at)
         self.follow_holds(self.holds, time.monotonic())
 
+    async def grant(
+        self, holds: CalledHolds, body: dict[str, Any], arrived_at: float
+    ) -> web.Response:
+        """Hold the granted keys and record since when."""
+        response = await super().grant(holds, body, arrived_at)
+        self.follow_called_holds(holds)
+        return response
+
+    async def release(
+        self, holds: CalledHolds, body: dict[str, Any], arrived_at: float
+    ) -> web.Response:
+        """Give up keys; they aren't held any more while work on them goes on."""
+        releasing = asyncio.create_task(super().release(holds, body, arrived_at))
+        await asyncio.sleep(0)
+        self.follow_called_holds(holds)
+        return await releasing
+
+    def follow_called_holds(self, holds: CalledHolds) -> None:
+        """Record what is held after a call."""
+        now = time.monotonic()
+        self.follow_holds([Hold(*one) for one in holds.held(now)], now)
+
     def follow_holds(self, holds: list[Hold], now: float) -> None:
         """Prolong the periods of rows that stay, and close the others."""
         periods = {}
