Release only the keys that a grant leaves out in the stand-in

When a row was split, the stand-in released the whole old row, also the part that it kept, and so waited for an instant without work on either part, which callers that keep it busy hardly leave.

CalledHold and the endpoint's Hold were the same type; one goes.

--- a/src/sassafraswharf_bench/provider/called_holds.py
+++ b/src/sassafraswharf_bench/provider/called_holds.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 
-class CalledHold(NamedTuple):
+class Hold(NamedTuple):
     """Keys that the endpoint holds until an instant of its steady clock."""
 
     first: int
@@ -24,8 +24,8 @@
 
     def __init__(self) -> None:
         """Start as an endpoint does: it holds nothing and has seen no fence."""
-        self.holds: list[CalledHold] = []
-        self.seen: list[CalledHold] = []
+        self.holds: list[Hold] = []
+        self.seen: list[Hold] = []
         self.grants = 0
         self.releases = 0
 
@@ -35,7 +35,7 @@
         """Take a grant; return False if a higher fence was seen."""
         if any(one.fence > fence for one in self.seen if overlaps(one, first, last)):
             return False
-        granted = CalledHold(first, last, fence, arrived_at + hold_s)
+        granted = Hold(first, last, fence, arrived_at + hold_s)
         self.holds = [*cut(self.holds, first, last), granted]
         self.seen = [*cut(self.seen, first, last), granted]
         self.grants += 1
@@ -46,7 +46,7 @@
         self.holds = cut(self.holds, first, last)
         self.releases += 1
 
-    def held(self, now: float) -> list[CalledHold]:
+    def held(self, now: float) -> list[Hold]:
         """Return the holds that have not run out."""
         return [one for one in self.holds if one.until > now]
 
@@ -55,12 +55,12 @@
         return any(one.first <= key <= one.last for one in self.held(now))
 
 
-def overlaps(hold: CalledHold, first: int, last: int) -> bool:
+def overlaps(hold: Hold, first: int, last: int) -> bool:
     """Return whether a hold has keys from ``first`` to ``last``."""
     return hold.first <= last and hold.last >= first
 
 
-def cut(holds: list[CalledHold], first: int, last: int) -> list[CalledHold]:
+def cut(holds: list[Hold], first: int, last: int) -> list[Hold]:
     """Return the holds without the keys from ``first`` to ``last``."""
     rest = []
     for one in holds:
--- a/src/sassafraswharf_bench/provider/endpoint.py
+++ b/src/sassafraswharf_bench/provider/endpoint.py
@@ -18,6 +18,8 @@
 
 from sassafraswharf.settings.durations import parse_duration
 from sassafraswharf_bench.provider.called_holds import CalledHolds
+from sassafraswharf_bench.provider.called_holds import Hold
+from sassafraswharf_bench.provider.called_holds import cut
 
 
 if TYPE_CHECKING:
@@ -43,15 +45,6 @@
     body: bytes
 
 
-class Hold(NamedTuple):
-    """Keys that the endpoint holds until an instant of its steady clock."""
-
-    first: int
-    last: int
-    fence: int
-    until: float
-
-
 class Endpoint:
     """Speaks what the provider's pages say of endpoints, without their faults."""
 
@@ -185,10 +178,12 @@
         """Hold exactly the granted rows, counted from when the beat was sent."""
         until = sent_at + parse_duration(text).unwrap()
         granted = [Hold(row[0], row[1], row[2], until) for row in rows]
-        kept = {one[:3] for one in granted}
         for old in self.held(time.monotonic()):
-            if old[:3] not in kept:
-                self.releasing.append(old)
+            left_out = [old]
+            for one in granted:
+                if one.fence == old.fence:
+                    left_out = cut(left_out, one.first, one.last)
+            self.releasing += left_out
         self.holds = granted
         self.grants.append((sent_at, tuple(granted)))
 
--- a/src/sassafraswharf_bench/soak/upstream.py
+++ b/src/sassafraswharf_bench/soak/upstream.py
@@ -16,8 +16,8 @@
 
 from aiohttp import web
 
+from sassafraswharf_bench.provider.called_holds import Hold
 from sassafraswharf_bench.provider.endpoint import Endpoint
-from sassafraswharf_bench.provider.endpoint import Hold
 from sassafraswharf_bench.provider.endpoint import Run
 from sassafraswharf_bench.soak.ledger import HoldPeriod
 from sassafraswharf_bench.soak.ledger import Leave
