Import the loopback fleet from the bench in the newer tests

test_changes.py and test_silent_machines.py were written against tests/provider/harness.py, which has moved.

--- a/tests/provider/test_changes.py
+++ b/tests/provider/test_changes.py
@@ -11,12 +11,12 @@
 
 import aiohttp
 
+from sassafraswharf_bench.provider.fleet import BOOKING
+from sassafraswharf_bench.provider.fleet import DIARY
+from sassafraswharf_bench.provider.fleet import HOST
+from sassafraswharf_bench.provider.fleet import Fleet
+from sassafraswharf_bench.provider.fleet import document
 from sassafraswharf_bench.provider.machines import CALLER_PORT
-from tests.provider.harness import BOOKING
-from tests.provider.harness import DIARY
-from tests.provider.harness import HOST
-from tests.provider.harness import Fleet
-from tests.provider.harness import document
 
 
 if TYPE_CHECKING:
--- a/tests/provider/test_silent_machines.py
+++ b/tests/provider/test_silent_machines.py
@@ -7,10 +7,10 @@
 
 from typing import TYPE_CHECKING
 
-from tests.provider.harness import BOOKING
-from tests.provider.harness import HOST
-from tests.provider.harness import Fleet
-from tests.provider.harness import document
+from sassafraswharf_bench.provider.fleet import BOOKING
+from sassafraswharf_bench.provider.fleet import HOST
+from sassafraswharf_bench.provider.fleet import Fleet
+from sassafraswharf_bench.provider.fleet import document
 
 
 if TYPE_CHECKING:
