--- a/src/sassafraswharf/consensus/group_task.py
+++ b/src/sassafraswharf/consensus/group_task.py
@@ -129,8 +129,14 @@
     def create_replica(self, stored: Stored) -> Replica:
         """Replace the replica by one that starts from the files."""
         self.replica = Replica(
-            *(stored.state, self.names, stored.snapshot, stored.entries),
-            *(self.timing, self.rng, self.clock.now(), self.policy),
+            stored.state,
+            self.names,
+            stored.snapshot,
+            stored.entries,
+            self.timing,
+            self.rng,
+            self.clock.now(),
+            self.policy,
         )
         return self.replica
 
@@ -326,6 +332,7 @@
         """Apply committed entries and answer those who wait for them."""
         for entry in entries:
             if entry.log_index <= self.applied_index:
+                # After a reopen the replica commits it again.
                 continue
             answer: Any = b""
             if entry.kind is EntryKind.COMMAND:
--- a/src/sassafraswharf/consensus/membership.py
+++ b/src/sassafraswharf/consensus/membership.py
@@ -77,10 +77,10 @@
     def wants_to_join(self, now: float) -> bool:
         """Return whether no leader knows this replica.
 
-        A voter that an operator removed stays away until it restarts. A learner
-        asks again, because its addition may be lost with a leader, or undone by a
-        delayed request of an older identity of its host. A voter that has heard no
-        leader for long may have lost its place to another host without knowing it.
+        Without ``target_voters`` a removed voter stays away until it restarts. A
+        learner asks again, because its addition may be lost with a leader, or undone
+        by a delayed request of an older identity of its host. A voter that has heard
+        no leader for long may have lost its place to another host without knowing it.
         """
         if not self.is_founded:
             return True
--- a/src/sassafraswharf/gateway/http_connection.py
+++ b/src/sassafraswharf/gateway/http_connection.py
@@ -37,7 +37,7 @@
 SILENT_PEER_MS: Final = 3_000
 """Time after which the kernel gives up a peer that takes no bytes, also one that
 answers its probes."""
-PATIENCE_MS: Final = 600_000
+MAX_USER_TIMEOUT_MS: Final = 600_000
 """Longer than any request is waited for. With 0 the kernel would take its default."""
 FIRST_FINAL_STATUS: Final = 200
 MAX_REASON_CHARACTERS: Final = 175
@@ -138,7 +138,7 @@
         A silent peer may be at work on the request. It is given up before the
         deadline only if the request may then be sent to another one.
         """
-        self.limit_silence(PATIENCE_MS if work.is_sent_once else SILENT_PEER_MS)
+        self.limit_silence(MAX_USER_TIMEOUT_MS if work.is_sent_once else SILENT_PEER_MS)
         head = request_head(work, fields)
         has_body = work.method != "HEAD"
         self.begin(head, work.body, identity, has_response_body=has_body)
--- a/src/sassafraswharf/gateway/ingress.py
+++ b/src/sassafraswharf/gateway/ingress.py
@@ -326,7 +326,7 @@
                 outcome = await self.hops.run(work, upstream)
         finally:
             self.choice.finished(upstream)
-        progress.in_attempt = False
+        progress.in_attempt = False  # stays set if the attempt is cancelled
         if isinstance(outcome, Ok):
             self.choice.on_success(upstream.instance)
             self.crashes.on_success(work, self.clock.now())
--- a/src/sassafraswharf/gateway/work.py
+++ b/src/sassafraswharf/gateway/work.py
@@ -65,7 +65,7 @@
 
     @property
     def is_sent_once(self) -> bool:
-        """Return whether a send whose outcome is unknown is the last one."""
+        """Return whether it must not be sent again after an unknown outcome."""
         return self.rest is not None or not self.repeatable
 
 
--- a/src/sassafraswharf/router/http_server.py
+++ b/src/sassafraswharf/router/http_server.py
@@ -45,7 +45,7 @@
 )
 BACKLOG: Final = 1_024
 FIRST_SERVER_ERROR: Final = 500
-LAST_REQUEST_S: Final = 0.25
+FIRST_REQUEST_S: Final = 0.25
 """Time in which a connection that was just accepted sends its first request."""
 POLL_TURNS: Final = 4
 """Turns of the event loop until a connection is accepted, read and handled."""
@@ -369,7 +369,7 @@
         while (left_s := until - loop.time()) > 0:
             if not await self.drain(left_s):
                 return False
-            await asyncio.sleep(min(LAST_REQUEST_S, max(0.0, until - loop.time())))
+            await asyncio.sleep(min(FIRST_REQUEST_S, max(0.0, until - loop.time())))
             if not self.active:
                 break
         self.pre_shutdown()
--- a/src/sassafraswharf_bench/soak/caller.py
+++ b/src/sassafraswharf_bench/soak/caller.py
@@ -142,7 +142,7 @@
             answer = await self.receive(connection, request)
             if answer is None or answer.ends_connection():
                 for unanswered in rest:
-                    self.record(unanswered, "unsent")
+                    self.record(unanswered, "unanswered")
                 return False
         return True
 
--- a/src/sassafraswharf_bench/soak/schedule.py
+++ b/src/sassafraswharf_bench/soak/schedule.py
@@ -123,7 +123,7 @@
         return faults
 
     def occupy(self, name: str, target: str, at_s: float) -> Fault | None:
-        """Return a fault of a target, ``None`` if another of the kind lasts."""
+        """Return a fault, ``None`` if an earlier one of its target still lasts."""
         kind = KINDS[name]
         length_s = round(self.rng.uniform(kind.shortest_s, kind.longest_s), 3)
         if kind.place == ANYWHERE:
--- a/src/sassafraswharf_bench/soak/stop_checks.py
+++ b/src/sassafraswharf_bench/soak/stop_checks.py
@@ -81,10 +81,10 @@
 ) -> str | None:
     """Return how a request was lost, ``None`` if it wasn't.
 
-    ``unsent`` requests lie behind another one on their connection.
+    ``unanswered`` requests were sent behind another one on their connection.
     """
     places = [(run.host, run.result) for run in runs]
-    if exchange.outcome in {"cut", "unsent"} and runs:
+    if exchange.outcome in {"cut", "unanswered"} and runs:
         return f"passed on to {places}, connection ended after {took_s:.3f} s"
     if exchange.outcome == "cut" and took_s > LOSS_SLACK_S:
         return f"not passed on, connection ended after {took_s:.3f} s"
