Declare the metrics of traffic in one place

Routers and control hosts declared both metrics with the same lines. Traffic.declare does it for both; names and descriptions are as they were.

--- a/src/sassafraswharf/fleet/control_metrics.py
+++ b/src/sassafraswharf/fleet/control_metrics.py
@@ -18,17 +18,7 @@
         "what",
         "Leadership, term, log, voters, versions in force and routers heard",
     )
-    traffic = control.feed.traffic
-    metrics.observe(
-        "sassafraswharf_traffic_bytes",
-        traffic.read_bytes,
-        "Bytes of messages by kind, direction and zone of the peers",
-    )
-    metrics.observe(
-        "sassafraswharf_traffic_messages",
-        traffic.read_messages,
-        "Messages by kind, direction and zone of the peers",
-    )
+    control.feed.traffic.declare(metrics)
     metrics.gauge(
         "sassafraswharf_owner_busy_ratio",
         lambda: {
--- a/src/sassafraswharf/gateway/router_metrics.py
+++ b/src/sassafraswharf/gateway/router_metrics.py
@@ -36,17 +36,7 @@
         lambda: [(router.link.received_bytes, {})],
         "Bytes of answers to reports, those of failed ones included",
     )
-    traffic = router.hops.traffic
-    metrics.observe(
-        "sassafraswharf_traffic_bytes",
-        traffic.read_bytes,
-        "Bytes of messages by kind, direction and zone of the peers",
-    )
-    metrics.observe(
-        "sassafraswharf_traffic_messages",
-        traffic.read_messages,
-        "Messages by kind, direction and zone of the peers",
-    )
+    router.hops.traffic.declare(metrics)
     delivery = router.delivery
     if delivery is not None:
         metrics.observe(
--- a/src/sassafraswharf/observability/traffic.py
+++ b/src/sassafraswharf/observability/traffic.py
@@ -9,6 +9,8 @@
     from collections.abc import Iterator
     from collections.abc import Mapping
 
+    from sassafraswharf.observability.metrics import Metrics
+
     Count = tuple[int, Mapping[str, str]]
 
 
@@ -59,6 +61,19 @@
             flow = self.flows[kind, leaves] = Flow()
         return flow
 
+    def declare(self, metrics: Metrics) -> None:
+        """Declare the counts as metrics; they are read when collected."""
+        metrics.observe(
+            "sassafraswharf_traffic_bytes",
+            self.read_bytes,
+            "Bytes of messages by kind, direction and zone of the peers",
+        )
+        metrics.observe(
+            "sassafraswharf_traffic_messages",
+            self.read_messages,
+            "Messages by kind, direction and zone of the peers",
+        )
+
     def read_bytes(self) -> Iterator[Count]:
         """Yield the bytes with their labels."""
         for labels, flow in self.labelled():
