--- a/review/common/stage.py
+++ b/review/common/stage.py
@@ -4,6 +4,7 @@
 
 import os
 import random
+import signal
 import socket
 import sys
 import tempfile
@@ -48,6 +49,14 @@
     raise OSError("no free addresses")
 
 
+def end_on_signal(*_: object) -> None:
+    """Leave by an exception, so that the processes that were started are ended."""
+    sys.exit(NOT_RUN)
+
+
+signal.signal(signal.SIGTERM, end_on_signal)
+
+
 class Record:
     """The lines of ``record.txt``, with seconds since the start."""
 
