Move the keys of a silent upstream only after its router stopped granting them

Cause: the leader removed an upstream and gave its keys away on a report that it was silent and held nothing. Until the removal reached the router, its lease and its table were valid, so a heartbeat in between was granted all the keys.

The keys of such an upstream are now moved like those of a draining one. The owner changes with a report that the router sent after it knew of the move, and the upstream is removed when it owns nothing. The same holds for an upstream that a restarted router doesn't know, and for keys on their way to a silent upstream. A longer silence or a faster notification would only have made the window smaller.

--- a/src/sassafraswharf/fleet/coordinator.py
+++ b/src/sassafraswharf/fleet/coordinator.py
@@ -53,7 +53,8 @@
     """Return whether a silent upstream is known to hold no keys.
 
     A router that has just started doesn't know the grants of its earlier process,
-    so its report is not complete and doesn't count.
+    so its report is not complete and doesn't count. The upstream may return after
+    the report and be granted the rows that it owns in the table of its router.
     """
     is_silent = report.silent_s > SILENT_UPSTREAM_TIMEOUT_S
     return is_silent and not report.held and report.is_complete
@@ -206,7 +207,12 @@
         return found
 
     def _is_removable(self, instance: Instance, table: FleetTable, now: float) -> bool:
-        """Return whether an upstream can hold no keys any more."""
+        """Return whether an upstream can neither hold nor be granted keys any more.
+
+        While its router is live, a report doesn't prove that: the router may grant
+        the keys until it learns of the removal. So the rows of a lapsed upstream are
+        moved first, which the router confirms.
+        """
         if instance in self.ended_instances:
             return True
         upstream = table.upstreams[instance]
@@ -220,12 +226,27 @@
             # Both incarnations use the same address beside the router, so the
             # earlier one must have exited before the later one could bind it.
             return True
+        return self._has_lapsed(instance, session, now) and not any(
+            instance in {row.owner, row.target}
+            for row in table.rows.get(upstream.service, ())
+        )
+
+    def _has_lapsed(
+        self, instance: Instance, session: RouterSession, now: float
+    ) -> bool:
+        """Return whether an upstream held no keys when its router sent its report."""
+        report = session.request.upstream
         if report is None or report.instance != instance:
             # The router has restarted and doesn't know this incarnation. Its last
             # hold expires within the lease of the earlier router process.
             return now - session.first_heard_at > self.timing.takeover_s
         return holds_nothing(report)
 
+    def _has_lapsed_at(self, upstream: Upstream, now: float) -> bool:
+        """Return whether the router of an upstream reports it as lapsed."""
+        session = self.sessions.get(upstream.host)
+        return session is not None and self._has_lapsed(upstream.instance, session, now)
+
     def _free_rows_of(
         self, table: FleetTable, removed: set[Instance]
     ) -> list[ServiceRows]:
@@ -258,11 +279,12 @@
             rows = free_rows()
         weights = self.weights.setdefault(service, KeyWeights())
         weights.refresh(now)
-        settled = tuple(self._complete_move(row, table) for row in rows)
+        settled = tuple(self._complete_move(row, table, now) for row in rows)
         placement = KeyPlacement(settled, self._candidates(upstreams, now), weights)
         changed = settled != rows
         changed |= placement.assign_free_rows()
-        changed |= placement.evacuate(self._upstreams_to_evacuate(upstreams, placement))
+        leaving = self._upstreams_to_evacuate(upstreams, placement, now)
+        changed |= placement.evacuate(leaving)
         if now - self.rebalanced_at.get(service, 0.0) > REBALANCE_INTERVAL_S:
             owning = {row.owner for row in placement.rows}
             if placement.fill_new_upstream(owning) or placement.rebalance():
@@ -274,13 +296,13 @@
         return placement.result()
 
     def _upstreams_to_evacuate(
-        self, upstreams: list[Upstream], placement: KeyPlacement
+        self, upstreams: list[Upstream], placement: KeyPlacement, now: float
     ) -> set[Instance]:
         """Return the upstreams whose keys must move to others.
 
-        The keys of an upstream whose router restarts move only if the others have
-        spare capacity. Otherwise waiting for the restart costs less than queueing
-        at the others.
+        These are draining or lapsed ones. The keys of an upstream whose router
+        restarts move only if the others have spare capacity. Otherwise waiting for
+        the restart costs less than queueing at the others.
         """
         has_room = placement.service_utilisation() < MAX_RESTART_EVACUATION_UTILISATION
         for one in upstreams:
@@ -293,10 +315,12 @@
         return {
             one.instance
             for one in upstreams
-            if one.draining or self.evacuation_decisions.get(one.instance, False)
+            if one.draining
+            or self.evacuation_decisions.get(one.instance, False)
+            or self._has_lapsed_at(one, now)
         }
 
-    def _complete_move(self, row: KeyRow, table: FleetTable) -> KeyRow:
+    def _complete_move(self, row: KeyRow, table: FleetTable, now: float) -> KeyRow:
         """Return a row with its new owner if the previous one has released the keys.
 
         A row whose fence the owner refuses as outdated gets a new fence.
@@ -306,29 +330,32 @@
         if session is None:
             return row
         report = session.request.upstream
-        if report is None or report.instance != row.owner:
-            return row
+        if report is not None and report.instance != row.owner:
+            report = None
         if not row.is_moving:
+            refused = report.refused if report is not None else ()
             held = HeldRow(row.first, row.last, row.fence)
-            return row._replace(fence=0) if held in report.refused else row
-        token = self._handover_token(row, report, session.request.fleet_version)
+            return row._replace(fence=0) if held in refused else row
+        if session.request.fleet_version < row.release_requested_at_index:
+            # A router that held nothing before it knew of the move could still
+            # grant the keys afterwards.
+            return row
+        if report is not None:
+            token = self._handover_token(row, report)
+        else:
+            token = "" if self._has_lapsed(row.owner, session, now) else None
         if token is None:
             return row
         target = table.upstreams.get(row.target)
-        if target is None or not target.takes_work:
+        if target is None or not target.takes_work or self._has_lapsed_at(target, now):
             return KeyRow(row.first, row.last, NO_INSTANCE, 0)
         return KeyRow(row.first, row.last, row.target, 0, token)
 
-    def _handover_token(
-        self, row: KeyRow, report: UpstreamReport, fleet_version: int
-    ) -> str | None:
+    def _handover_token(self, row: KeyRow, report: UpstreamReport) -> str | None:
         """Return the handover token of a released row, ``None`` if it is held.
 
-        A report counts only if its router knew of the requested release. A router
-        that held nothing before it knew could still grant the keys afterwards.
+        The router must have known of the requested release when it sent the report.
         """
-        if fleet_version < row.release_requested_at_index:
-            return None
         if any(
             held.first <= row.last and held.last >= row.first for held in report.held
         ):
@@ -344,7 +371,7 @@
         reports = {}
         for session in self.live_sessions(now):
             report = session.request.upstream
-            if report is not None:
+            if report is not None and not holds_nothing(report):
                 reports[report.instance] = report
         present = [
             one for one in upstreams if one.takes_work and one.instance in reports
