Give a router that lost its lease another one only with a table that has its removal

The leader decided from old reports that the lease had ended, and freed the keys with the next commit. A report that arrived before the commit, or while parts of the change were on their way, was answered with a lease of 4.5 s, although the router's table still gave the keys to its upstream. After a change of the leader nobody remembered the removal.

The leader now remembers from the moment of its decision which table version a router needs, carries out a decided removal even if the router reports again, and starts a term with the newest removal in the log. A router below its version gets a lease that has already ended, and the parts of the change as before. The format of reports and replies is the same, so routers of the previous build can run beside this one.

--- a/src/sassafraswharf/fleet/control_node.py
+++ b/src/sassafraswharf/fleet/control_node.py
@@ -25,16 +25,17 @@
 from sassafraswharf.consensus.timing import ReplicaTiming
 from sassafraswharf.consensus.voters import host_name
 from sassafraswharf.fleet.coordinator import Coordinator
-from sassafraswharf.fleet.coordinator import LeaseTiming
 from sassafraswharf.fleet.first_start import record_first_start
 from sassafraswharf.fleet.fleet_state import FleetState
 from sassafraswharf.fleet.fleet_state import PlanCommand
 from sassafraswharf.fleet.fleet_state import decode_plan_reply
 from sassafraswharf.fleet.fleet_state import encode_fleet_change
 from sassafraswharf.fleet.fleet_state import encode_plan_command
+from sassafraswharf.fleet.lease_timing import LeaseTiming
 from sassafraswharf.fleet.read_api import PREFIX
 from sassafraswharf.fleet.read_api import ReadApi
 from sassafraswharf.fleet.state_feed import StateFeed
+from sassafraswharf.fleet.sync import EXPIRED_LEASE_S
 from sassafraswharf.fleet.sync import REQUEST_DECODER
 from sassafraswharf.fleet.sync import SyncReply
 from sassafraswharf.fleet.sync import SyncRequest
@@ -230,7 +231,7 @@
     def on_role_change(self, is_leader: bool, term: int) -> None:
         """Reset the coordination state for a new term or role."""
         self.log.record("leadership", leads=is_leader, term=term)
-        self.coordinator.start_term(self.clock.now())
+        self.coordinator.start_term(self.clock.now(), self.state.removal_version)
         self.feed.clear()
         self.state_changed.notify()
         self.planning_due.set()
@@ -326,10 +327,15 @@
         if not self.group.is_current_leader():
             return SyncReply(self.leader_address, self.control_addresses, 0.0)
         now = self.clock.now()
+        may_renew = self.coordinator.renewal.may_renew(report)
+        if not may_renew:
+            self.log.record(
+                "lease_withheld", router=report.host, fleet=report.fleet_version
+            )
         return SyncReply(
             self.leader_address,
             self.control_addresses,
-            self.coordinator.timing.lease_s,
+            self.coordinator.timing.lease_s if may_renew else EXPIRED_LEASE_S,
             self.feed.plan_part(report, now),
             self.feed.fleet_part(report, now),
             self.coordinator.suspects_for(report, now),
--- a/src/sassafraswharf/fleet/coordinator.py
+++ b/src/sassafraswharf/fleet/coordinator.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
-from typing import NamedTuple
 
 from sassafraswharf.fleet.crash_table import CrashTable
 from sassafraswharf.fleet.crash_table import checksum
@@ -12,6 +11,7 @@
 from sassafraswharf.fleet.key_placement import Candidate
 from sassafraswharf.fleet.key_placement import KeyPlacement
 from sassafraswharf.fleet.key_weights import KeyWeights
+from sassafraswharf.fleet.lease_renewal import LeaseRenewal
 from sassafraswharf.fleet.sync import HeldRow
 from sassafraswharf.fleet.values import NO_INSTANCE
 from sassafraswharf.fleet.values import FleetChange
@@ -25,13 +25,12 @@
     from collections.abc import Iterable
 
     from sassafraswharf.fleet.fleet_table import FleetTable
+    from sassafraswharf.fleet.lease_timing import LeaseTiming
     from sassafraswharf.fleet.sync import Suspect
     from sassafraswharf.fleet.sync import SyncRequest
     from sassafraswharf.fleet.sync import UpstreamReport
 
 
-MAX_CLOCK_RATE_RATIO = 1.05
-"""The clocks of two hosts may run at rates that differ by 5%."""
 FIRST_PLACEMENT_DELAY_S = 2.5
 """Wait for the upstreams of a new service to announce themselves before keys are
 assigned: a first assignment costs nothing, a later change of owner does."""
@@ -60,29 +59,6 @@
     return is_silent and not report.held and report.is_complete
 
 
-class LeaseTiming(NamedTuple):
-    """Durations of leases in seconds.
-
-    ``lease_s`` counts from the time at which a router sent its renewal. Each key
-    hold of an upstream counts from the same time and ends no later than the lease.
-    ``election_s`` is how long an earlier leader may have granted leases before the
-    current one was elected.
-    """
-
-    lease_s: float = 4.5
-    election_s: float = 1.0
-
-    @property
-    def expiry_s(self) -> float:
-        """Return the time without a renewal after which a lease has expired."""
-        return self.lease_s * MAX_CLOCK_RATE_RATIO
-
-    @property
-    def takeover_s(self) -> float:
-        """Return the time after which all leases of earlier leaders have expired."""
-        return self.expiry_s + self.election_s
-
-
 class RouterSession:
     """The latest report of one router process and when it arrived."""
 
@@ -113,10 +89,16 @@
         self.utilisation_by_service: dict[str, dict[str, float]] = {}
         self.evacuation_decisions: dict[Instance, bool] = {}
         self.crash_table = CrashTable()
+        self.renewal = LeaseRenewal()
+
+    def start_term(self, now: float, removal_version: int = 0) -> None:
+        """Discard the reports of earlier terms; routers send new ones.
 
-    def start_term(self, now: float) -> None:
-        """Discard the reports of earlier terms; routers send new ones."""
+        ``removal_version`` is the version of the newest removal of an upstream by
+        an earlier leader.
+        """
         self.sessions = {}
+        self.renewal = LeaseRenewal(removal_version)
         self.ended_instances = set()
         self.weights = {}
         self.first_seen_at = {}
@@ -156,14 +138,15 @@
         self, table: FleetTable, keyed: Iterable[str], now: float
     ) -> FleetChange | None:
         """Return the next change to commit, ``None`` if there is nothing to do."""
+        self._record_lost_upstreams(table, now)
         reports = self._reported_upstreams(table, now)
+        removed = [
+            one for one in table.upstreams if self._is_removable(one, table, now)
+        ]
         joined = [
             upstream
             for instance, upstream in reports.items()
-            if table.upstreams.get(instance) != upstream
-        ]
-        removed = [
-            one for one in table.upstreams if self._is_removable(one, table, now)
+            if table.upstreams.get(instance) != upstream and instance not in removed
         ]
         if joined or removed:
             freed = self._free_rows_of(table, set(removed))
@@ -206,6 +189,20 @@
             )
         return found
 
+    def _record_lost_upstreams(self, table: FleetTable, now: float) -> None:
+        """Record the upstreams whose routers have lost their leases."""
+        self.renewal.keep_only(table.upstreams)
+        for upstream in table.upstreams.values():
+            if not self._may_have_lease(upstream, now):
+                self.renewal.on_lost(upstream, table)
+
+    def _may_have_lease(self, upstream: Upstream, now: float) -> bool:
+        """Return whether the router of an upstream may still have a lease."""
+        session = self.sessions.get(upstream.host)
+        if session is None:
+            return now - self.leader_since <= self.timing.takeover_s
+        return now - session.heard_at <= self.timing.expiry_s
+
     def _is_removable(self, instance: Instance, table: FleetTable, now: float) -> bool:
         """Return whether an upstream can neither hold nor be granted keys any more.
 
@@ -213,14 +210,12 @@
         the keys until it learns of the removal. So the rows of a lapsed upstream are
         moved first, which the router confirms.
         """
-        if instance in self.ended_instances:
+        if instance in self.ended_instances or instance in self.renewal.lost_upstreams:
             return True
         upstream = table.upstreams[instance]
         session = self.sessions.get(upstream.host)
         if session is None:
-            return now - self.leader_since > self.timing.takeover_s
-        if now - session.heard_at > self.timing.expiry_s:
-            return True
+            return False
         report = session.request.upstream
         if report is not None and report.instance.started_ms > instance.started_ms:
             # Both incarnations use the same address beside the router, so the
--- /dev/null
+++ b/src/sassafraswharf/fleet/lease_renewal.py
@@ -0,0 +1,45 @@
+"""Decides which routers may get a lease with the fleet table that they have."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+
+if TYPE_CHECKING:
+    from sassafraswharf.fleet.fleet_table import FleetTable
+    from sassafraswharf.fleet.sync import SyncRequest
+    from sassafraswharf.fleet.values import Instance
+    from sassafraswharf.fleet.values import Upstream
+
+
+class LeaseRenewal:
+    """Remembers the routers whose leases have ended and which table they need.
+
+    The keys of a router without a lease are assigned to others without its consent.
+    With a lease and a table from before that, it would grant them once more.
+    """
+
+    def __init__(self, removal_version: int = 0) -> None:
+        """Start a term; earlier leaders removed upstreams up to a table version."""
+        self.removal_version = removal_version
+        self.lost_upstreams: set[Instance] = set()
+        self.needed_versions: dict[str, int] = {}
+
+    def may_renew(self, request: SyncRequest) -> bool:
+        """Return whether a router may get a lease with the table that it reports."""
+        needed = self.needed_versions.get(request.host, self.removal_version)
+        return request.fleet_version >= needed
+
+    def on_lost(self, upstream: Upstream, table: FleetTable) -> None:
+        """Record that the router of an upstream has no lease any more.
+
+        This is final, since the change that removes the upstream may be committed
+        at any later time. It will have a version above that of the table.
+        """
+        if upstream.instance not in self.lost_upstreams:
+            self.lost_upstreams.add(upstream.instance)
+            self.needed_versions[upstream.host] = table.version + 1
+
+    def keep_only(self, upstreams: dict[Instance, Upstream]) -> None:
+        """Forget the lost upstreams that the table has no more."""
+        self.lost_upstreams &= upstreams.keys()
--- a/src/sassafraswharf/fleet/sync.py
+++ b/src/sassafraswharf/fleet/sync.py
@@ -17,6 +17,11 @@
 from sassafraswharf.routing.plan_document import PlanChange
 
 
+EXPIRED_LEASE_S = 0.001
+"""A lease that has ended when it arrives, for a router that must have a newer table
+first. With 0 it would turn to another control host and drop the table."""
+
+
 class HeldRow(NamedTuple):
     """Keys that an upstream holds, or that it may still hold."""
 
@@ -120,7 +125,8 @@
     """The leader's reply, or the address of a control host that may be leader.
 
     ``lease_s`` counts from the time at which the request was sent; 0 means
-    that there is no lease, because the sender is not the leader. ``suspects`` is
+    that there is no lease, because the sender is not the leader, and
+    ``EXPIRED_LEASE_S`` that the router's table is too old for one. ``suspects`` is
     ``None`` if the router has the current list. ``plan_version`` and
     ``fleet_version`` are the newest versions. ``plan`` and ``fleet`` are parts of the
     changes that the router lacks, ``None`` if it lacks none or too
--- a/src/sassafraswharf/gateway/router_node.py
+++ b/src/sassafraswharf/gateway/router_node.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 from typing import Final
 
-from sassafraswharf.fleet.coordinator import LeaseTiming
+from sassafraswharf.fleet.lease_timing import LeaseTiming
 from sassafraswharf.fleet.sync import SyncRequest
 from sassafraswharf.fleet.sync import UpstreamReport
 from sassafraswharf.gateway.announcements import Announcements
--- a/tests/fleet/reporting_fleet.py
+++ b/tests/fleet/reporting_fleet.py
@@ -4,8 +4,8 @@
 
 from sassafraswharf.fleet.coordinator import FIRST_PLACEMENT_DELAY_S
 from sassafraswharf.fleet.coordinator import Coordinator
-from sassafraswharf.fleet.coordinator import LeaseTiming
 from sassafraswharf.fleet.fleet_table import FleetTable
+from sassafraswharf.fleet.lease_timing import LeaseTiming
 from sassafraswharf.fleet.sync import HeldRow
 from sassafraswharf.fleet.sync import KeyLoad
 from sassafraswharf.fleet.sync import ReleasedRow
--- a/tests/gateway/test_called_holds_machine.py
+++ b/tests/gateway/test_called_holds_machine.py
@@ -19,7 +19,7 @@
 from hypothesis.stateful import invariant
 from hypothesis.stateful import rule
 
-from sassafraswharf.fleet.coordinator import LeaseTiming
+from sassafraswharf.fleet.lease_timing import LeaseTiming
 from sassafraswharf.fleet.sync import HeldRow
 from sassafraswharf.gateway.heartbeat import GrantedRow
 from sassafraswharf.gateway.key_holds import KeyHolds
