Refuse configurations that can be decoded but not be applied

An operator's change with a number that can't be added to others, or with a field nested about 980 deep, stopped every control host for good: reads and changes got 503, routers lost their leases and keys were no longer served (CONFIG, "the configuration did not come").

Cause: the API decodes only the names of items, and a replica parses them when it applies the committed entry. An exception there stops the replica, and each restart meets the same entry. OverflowError came from summing weights, RecursionError from a decoder whose limit depends on the depth of the stack.

Numbers, versions and the depth of items are now bounded when a change arrives (400). An entry of an earlier build that can't be computed with is refused by every replica alike.

--- a/src/sassafraswharf/fleet/fleet_state.py
+++ b/src/sassafraswharf/fleet/fleet_state.py
@@ -141,7 +141,12 @@
         if change.version <= version:
             message = f"version {change.version} is not above {version}"
             return PlanReply(ResultCode.CONFIGURATION_INVALID, message, version)
-        changed = self.plan.apply(change)
+        try:
+            changed = self.plan.apply(change)
+        except ArithmeticError as error:
+            # The entry may come from a build that checked less. An exception here
+            # would stop every replica, again after each restart.
+            changed = Err(f"a number can't be used: {error}")
         if isinstance(changed, Err):
             return PlanReply(
                 ResultCode.CONFIGURATION_INVALID, changed.err_value, version
--- a/src/sassafraswharf/platform/documents.py
+++ b/src/sassafraswharf/platform/documents.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+
 from hashlib import blake2b
 from typing import Final
 from typing import NotRequired
@@ -13,6 +15,10 @@
 from result import Ok
 from result import Result
 
+from sassafraswharf.platform.json_values import MAX_INT64
+from sassafraswharf.platform.json_values import Int64
+from sassafraswharf.platform.json_values import Size
+from sassafraswharf.platform.json_values import is_nested_too_deeply
 from sassafraswharf.routing.plan_document import PlanChange
 from sassafraswharf.routing.plan_document import PlanDocument
 from sassafraswharf.routing.plan_document import PlanItem
@@ -25,6 +31,7 @@
 
 REPEATABLE_BY_ROUTE_TYPE: Final = {"idempotent": True, "non_idempotent": False}
 VERSION_HEX_DIGITS: Final = 8
+VERSION_PATTERN: Final = re.compile(r"[0-9a-fA-F]{1,16}")
 DIGEST_BYTES: Final = 16
 
 
@@ -38,7 +45,7 @@
     """A service and its weight in the traffic split of a route."""
 
     service: str
-    weight: int | float
+    weight: float
 
 
 class RouteDocument(TypedDict):
@@ -50,8 +57,8 @@
     routeType: str
     timeout: str
     targetLatency: NotRequired[str]
-    priority: NotRequired[int]
-    attempts: NotRequired[int]
+    priority: NotRequired[Int64]
+    attempts: NotRequired[Int64]
     service: NotRequired[str]
     trafficSplit: NotRequired[list[TrafficSplitDocument]]
 
@@ -61,7 +68,7 @@
 
     name: str
     healthPath: NotRequired[str]
-    maxConnections: NotRequired[int]
+    maxConnections: NotRequired[Int64]
     sharded: NotRequired[bool]
     warmup: NotRequired[str]
 
@@ -69,8 +76,8 @@
 class LimitsDocument(TypedDict):
     """Limits on the requests and connections of callers."""
 
-    maxHeaderBytes: NotRequired[int]
-    maxBodyBytes: NotRequired[int]
+    maxHeaderBytes: NotRequired[Size]
+    maxBodyBytes: NotRequired[Size]
     headerTimeout: NotRequired[str]
     idleTimeout: NotRequired[str]
 
@@ -114,7 +121,12 @@
 LIMITS_DECODER = msgspec.json.Decoder(LimitsDocument)
 REPLACE_DECODER = msgspec.json.Decoder(ReplaceDocument)
 PATCH_DECODER = msgspec.json.Decoder(PatchDocument)
-DECODE_ERRORS: Final = (msgspec.DecodeError, UnicodeDecodeError, ValueError)
+DECODE_ERRORS: Final = (
+    msgspec.DecodeError,
+    UnicodeDecodeError,
+    ValueError,
+    RecursionError,
+)
 
 
 class DocumentReader:
@@ -198,7 +210,7 @@
                 True,
                 plan_items(document["routes"]),
                 plan_items(document["services"]),
-                limits=bytes(document.get("limits", b"")),
+                limits=read_raw(document.get("limits", msgspec.Raw(b""))),
             )
         )
     except DECODE_ERRORS as error:
@@ -240,18 +252,32 @@
 
 
 def plan_items(contents: list[msgspec.Raw]) -> tuple[PlanItem, ...]:
-    """Decode the names of items and keep their JSON; raises ``msgspec.DecodeError``."""
+    """Decode the names of items, keep their JSON; raises one of ``DECODE_ERRORS``."""
     return tuple(
-        PlanItem(NAME_DECODER.decode(one)["name"], bytes(one)) for one in contents
+        PlanItem(NAME_DECODER.decode(one)["name"], read_raw(one)) for one in contents
     )
 
 
+def read_raw(content: msgspec.Raw) -> bytes:
+    """Return the text of a value; raises ``ValueError`` if it is nested too deeply.
+
+    A replica decodes the text again when it applies the change, and all replicas
+    must come to the same result.
+    """
+    text = bytes(content)
+    if is_nested_too_deeply(text):
+        raise ValueError("nested too deeply")
+    return text
+
+
 def parse_version(text: str) -> int:
-    """Parse a hexadecimal version; raises ``ValueError``.
+    """Parse a hexadecimal version of at most 63 bits; raises ``ValueError``.
 
     >>> parse_version("0000000c")
     12
     """
+    if VERSION_PATTERN.fullmatch(text) is None or int(text, 16) > MAX_INT64:
+        raise ValueError("the version is not a hexadecimal number in range")
     return int(text, 16)
 
 
--- a/src/sassafraswharf/routing/validation.py
+++ b/src/sassafraswharf/routing/validation.py
@@ -13,6 +13,8 @@
 
 
 MAX_TIMEOUT_S = 600.0
+MAX_WEIGHT = 1e12
+"""The sums of a weighted round robin are exact up to about 2**53."""
 
 
 def find_problem(plan: RoutePlan) -> str:
@@ -53,6 +55,8 @@
         yield f"{subject}: the timeout of {route.timeout_s} s is out of range"
     if any(target.weight < 0 for target in route.targets):
         yield f"{subject}: a weight is negative"
+    if any(target.weight > MAX_WEIGHT for target in route.targets):
+        yield f"{subject}: a weight is above {MAX_WEIGHT:.0f}"
     if sum(target.weight for target in route.targets) <= 0:
         yield f"{subject}: the weights add up to 0"
     for target in route.targets:
