Bound the numbers of a ping and keep background tasks running after an error

The OverflowError ended both tasks that send reports; no one waits for them, so nothing was logged, and the router stayed ready with its last configuration.

Pings out of bounds are answered with 400 now and name no upstream: numbers, nesting and ports. Tasks that must run as long as their process log an unexpected error and start again, on routers (reports, fleet table, grants, settings) and control hosts (planning, settings). A failed report closes its connection.

--- a/src/sassafraswharf/fleet/control_node.py
+++ b/src/sassafraswharf/fleet/control_node.py
@@ -24,6 +24,7 @@
 from sassafraswharf.consensus.messages import encode_message
 from sassafraswharf.consensus.timing import ReplicaTiming
 from sassafraswharf.consensus.voters import host_name
+from sassafraswharf.daemon.endless_task import run_endlessly
 from sassafraswharf.fleet.coordinator import Coordinator
 from sassafraswharf.fleet.first_start import record_first_start
 from sassafraswharf.fleet.fleet_state import FleetState
@@ -174,7 +175,7 @@
         self.mailbox.start()
         await self.group.start()
         await self.server.start(self.node.address, self.node.first_peer_port)
-        self.tasks = [asyncio.create_task(self.plan_fleet())]
+        self.tasks = [asyncio.create_task(run_endlessly("planning", self.plan_fleet))]
 
     async def stop(self) -> None:
         """Transfer leadership and close everything."""
--- a/src/sassafraswharf/gateway/call_delivery.py
+++ b/src/sassafraswharf/gateway/call_delivery.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 from typing import Final
 
+from sassafraswharf.daemon.endless_task import run_endlessly
 from sassafraswharf.gateway.heartbeat import GrantedRow
 from sassafraswharf.gateway.hold_client import UNKNOWN_OUTCOME_ERRORS
 from sassafraswharf.gateway.key_holds import held_row
@@ -85,7 +86,7 @@
 
     def start(self) -> None:
         """Start following the fleet table."""
-        self.task = asyncio.create_task(self.run())
+        self.task = asyncio.create_task(run_endlessly("grants", self.run))
 
     async def stop(self) -> None:
         """Stop all calls; holds expire on their own."""
--- a/src/sassafraswharf/gateway/control_link.py
+++ b/src/sassafraswharf/gateway/control_link.py
@@ -14,6 +14,7 @@
 from aiohttp import ClientPayloadError
 from result import Err
 
+from sassafraswharf.daemon.endless_task import run_endlessly
 from sassafraswharf.exceptions import ExchangeError
 from sassafraswharf.fleet.part_receiver import PartReceiver
 from sassafraswharf.fleet.sync import FLEET_DECODER
@@ -123,8 +124,10 @@
     def start(self) -> None:
         """Start reporting."""
         self.tasks = [
-            asyncio.create_task(self.run_reports()),
-            asyncio.create_task(self.run_urgent_reports()),
+            asyncio.create_task(run_endlessly("reports", self.run_reports)),
+            asyncio.create_task(
+                run_endlessly("urgent reports", self.run_urgent_reports)
+            ),
         ]
 
     async def stop(self) -> None:
@@ -194,6 +197,10 @@
                 reply = await self.send_report(connection, long_poll_s, progress)
         except REPORT_ERRORS as error:
             self.on_report_failure(address, error, progress)
+        except BaseException:
+            if connection is not None:
+                connection.abort()
+            raise
         else:
             self.outcomes["answered"] += 1
             self.received_bytes += progress.received_bytes
--- a/src/sassafraswharf/gateway/router_node.py
+++ b/src/sassafraswharf/gateway/router_node.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 from typing import Final
 
+from sassafraswharf.daemon.endless_task import run_endlessly
 from sassafraswharf.fleet.lease_timing import LeaseTiming
 from sassafraswharf.fleet.sync import SyncRequest
 from sassafraswharf.fleet.sync import UpstreamReport
@@ -212,7 +213,7 @@
         self.link.start()
         if self.delivery is not None:
             self.delivery.start()
-        self.tasks = [asyncio.create_task(self.follow_fleet())]
+        self.tasks = [asyncio.create_task(run_endlessly("fleet", self.follow_fleet))]
 
     async def stop(self) -> None:
         """Complete requests in flight, then close everything.
--- a/src/sassafraswharf/platform/heartbeats.py
+++ b/src/sassafraswharf/platform/heartbeats.py
@@ -1,7 +1,11 @@
 """Codec of endpoint heartbeats, deregistrations and the grants in the responses."""
 
+# msgspec resolves the annotations of decoded values when the program runs.
+# ruff: noqa: TC001
+
 from __future__ import annotations
 
+from typing import Annotated
 from typing import Final
 from typing import NotRequired
 from typing import TypedDict
@@ -14,15 +18,21 @@
 
 from sassafraswharf.fleet.sync import HeldRow
 from sassafraswharf.fleet.sync import ReleasedRow
+from sassafraswharf.fleet.values import KEY_COUNT
 from sassafraswharf.fleet.values import Instance
 from sassafraswharf.gateway.heartbeat import Grant
 from sassafraswharf.gateway.heartbeat import Heartbeat
+from sassafraswharf.platform.json_values import Count
+from sassafraswharf.platform.json_values import Size
 from sassafraswharf.settings.durations import format_duration
 from sassafraswharf.settings.durations import parse_duration
 from sassafraswharf.settings.node_loader import parse_address
 
 
 DRAINING_BY_STATE: Final = {"ready": False, "draining": True}
+DECODE_ERRORS: Final = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
+
+Key = Annotated[int, msgspec.Meta(ge=0, lt=KEY_COUNT)]
 
 
 class HeartbeatDocument(TypedDict):
@@ -37,19 +47,19 @@
     address: str
     zone: str
     version: str
-    slots: int
+    slots: Count
     state: str
     coldRemaining: str
-    sequence: int
-    born: NotRequired[int]
-    holds: NotRequired[list[tuple[int, int, int]]]
-    released: NotRequired[list[tuple[int, int, str]]]
+    sequence: Size
+    born: NotRequired[Size]
+    holds: NotRequired[list[tuple[Key, Key, Size]]]
+    released: NotRequired[list[tuple[Key, Key, str]]]
 
 
 class LeaveDocument(TypedDict):
     """Body of a deregistration."""
 
-    born: NotRequired[int]
+    born: NotRequired[Size]
 
 
 HEARTBEAT_DECODER = msgspec.json.Decoder(HeartbeatDocument)
@@ -60,7 +70,7 @@
     """Decode the heartbeat of an endpoint, or return why it is malformed."""
     try:
         document = HEARTBEAT_DECODER.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         return Err(str(error))
     draining = DRAINING_BY_STATE.get(document["state"])
     if draining is None:
@@ -92,7 +102,7 @@
     """Decode the instance that deregisters; the body may be empty or malformed."""
     try:
         document = LEAVE_DECODER.decode(body) if body else LeaveDocument()
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except DECODE_ERRORS:
         document = LeaveDocument()
     return Instance(endpoint_id, document.get("born", 0))
 
--- a/src/sassafraswharf/platform/main.py
+++ b/src/sassafraswharf/platform/main.py
@@ -17,6 +17,7 @@
 
 from sassafraswharf.clock import BootClock
 from sassafraswharf.codes import ResultCode
+from sassafraswharf.daemon.endless_task import run_endlessly
 from sassafraswharf.daemon.garbage_collection import tune_garbage_collection
 from sassafraswharf.exceptions import SassafraswharfError
 from sassafraswharf.exceptions import SettingsError
@@ -129,7 +130,9 @@
     metrics = await start_metrics(
         node, lambda metrics: router_metrics.declare(metrics, router)
     )
-    watching = asyncio.create_task(watch_settings(node, log, router.on_settings))
+    watching = asyncio.create_task(
+        run_endlessly("settings", lambda: watch_settings(node, log, router.on_settings))
+    )
     tune_garbage_collection()
     await stop.wait()
     watching.cancel()
@@ -153,7 +156,9 @@
     metrics = await start_metrics(
         node, lambda metrics: control_metrics.declare(metrics, control)
     )
-    watching = asyncio.create_task(watch_settings(node, log, lambda _: None))
+    watching = asyncio.create_task(
+        run_endlessly("settings", lambda: watch_settings(node, log, lambda _: None))
+    )
     tune_garbage_collection()
     await stop.wait()
     watching.cancel()
--- a/src/sassafraswharf/settings/node_loader.py
+++ b/src/sassafraswharf/settings/node_loader.py
@@ -27,6 +27,7 @@
 
 
 MAX_PORT = 65_535
+MAX_PORT_DIGITS = 5
 
 
 def load_node(path: Path) -> Result[Node, Failure]:
@@ -127,6 +128,7 @@
     ('10.1.0.4', 8620)
     """
     host, _, port = text.rpartition(":")
-    if not host or not port.isdecimal() or not 0 < int(port) <= MAX_PORT:
+    is_number = port.isdecimal() and len(port) <= MAX_PORT_DIGITS
+    if not host or not is_number or not 0 < int(port) <= MAX_PORT:
         return Err(f"{text!r} is not an address with a port")
     return Ok((host, int(port)))
--- a/tests/gateway/test_control_link.py
+++ b/tests/gateway/test_control_link.py
@@ -181,3 +181,41 @@
         assert link.has_lease(100.0)
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize("error", [OverflowError("too large"), RecursionError()])
+def test_reports_continue_after_one_that_cannot_be_made(error: Exception) -> None:
+    """Guards against a router that serves an old configuration for good.
+
+    A report with a number above 64 bits can't be encoded. The task of the reports
+    ended with that exception, and nobody saw it.
+    """
+
+    async def main() -> None:
+        async def lead(_request: SyncRequest) -> SyncReply:
+            return SyncReply(LEADER, (LEADER,), 4.5)
+
+        server = await start(LEADER, 17_720, lead)
+        clock = StoppedClock()
+        link = make_link((LEADER,), clock, 17_720)
+        make_report = link.make_report
+        failures = iter([error, error])
+
+        def make_faulty_report(hold_s: float, sequence: int) -> SyncRequest:
+            failure = next(failures, None)
+            if failure is not None:
+                raise failure
+            return make_report(hold_s, sequence)
+
+        link.make_report = make_faulty_report
+        link.start()
+        for _ in range(500):
+            if link.has_lease(clock.now()):
+                break
+            await asyncio.sleep(0.02)
+        has_lease = link.has_lease(clock.now())
+        await link.stop()
+        await server.stop()
+        assert has_lease
+
+    asyncio.run(main())
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import re
 
 from pathlib import Path
@@ -15,6 +16,7 @@
 from sassafraswharf.gateway.heartbeat import Grant
 from sassafraswharf.gateway.heartbeat import GrantedRow
 from sassafraswharf.platform.heartbeats import decode_heartbeat
+from sassafraswharf.platform.heartbeats import decode_leave
 from sassafraswharf.platform.heartbeats import encode_grant
 
 
@@ -62,11 +64,53 @@
         {"sequence": None},
         {"holds": [[0, "x", 7]]},
         {"born": 1.5},
+        {"born": 2**64},
+        {"born": -1},
+        {"slots": 2**64},
+        {"slots": 2**31},
+        {"slots": 10**400},
+        {"sequence": 2**64},
+        {"sequence": -2},
+        {"holds": [[0, 2**64, 7]]},
+        {"holds": [[0, 65_536, 7]]},
+        {"holds": [[-1, 9, 7]]},
+        {"holds": [[0, 9, 2**64]]},
+        {"released": [[0, 2**64, "t"]]},
+        {"released": [[-1, 9, "t"]]},
+        {"address": "10.128.0.9:0"},
+        {"address": "10.128.0.9:65536"},
+        {"address": "10.128.0.9:" + "9" * 5_000},
+        {"coldRemaining": "9" * 5_000 + "s"},
     ],
 )
 def test_a_malformed_heartbeat_is_refused(change: dict[str, object]) -> None:
     """Guards against an upstream that exists only in a malformed message."""
-    assert decode_heartbeat("i-1", msgspec.json.encode({**BEAT, **change})).is_err()
+    body = json.dumps({**BEAT, **change}).encode()
+    assert decode_heartbeat("i-1", body).is_err()
+
+
+@pytest.mark.parametrize("field", ["unknown", "holds", "state"])
+@pytest.mark.parametrize("brackets", ["[]", "{}"])
+def test_a_deeply_nested_heartbeat_is_refused(field: str, brackets: str) -> None:
+    """Guards against an exception on a field that another program nested deeply."""
+    opening = "[" if brackets == "[]" else '{"a":'
+    closing = "]" if brackets == "[]" else "}"
+    nested = opening * 100_000 + "1" + closing * 100_000
+    body = json.dumps({**BEAT, field: "?"}).replace('"?"', nested)
+    assert decode_heartbeat("i-1", body.encode()).is_err()
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b'{"born": 18446744073709551616}',
+        b'{"born": -1}',
+        b'{"unknown": ' + b"[" * 100_000 + b"]" * 100_000 + b"}",
+    ],
+)
+def test_an_unreadable_leave_names_no_incarnation(body: bytes) -> None:
+    """Guards against an exception, and a leave of an incarnation that can't exist."""
+    assert decode_leave("i-1", body) == Instance("i-1", 0)
 
 
 @pytest.mark.parametrize("body", [b"", b"{", b"\xff\xfe", b"[]", b"null"])
