Plan no change of the fleet while an earlier one may still be committed

Keys could get two owners after a commit of over 3 s (OWNER).

Cause: a decision from a state that may change before it takes effect, as with silent upstreams. When a proposal timed out, the leader computed the next change from the table without it, although the log still had the entry. Both were committed then.

The planner remembers the last log index when a proposal fails, and plans again when it is applied or a new term begins.

It moved out of ControlNode, which had grown, to fleet/fleet_planner.py, and the outcomes of an operator's change to fleet/plan_answer.py; both are otherwise unchanged.

--- a/src/sassafraswharf/consensus/group_view.py
+++ b/src/sassafraswharf/consensus/group_view.py
@@ -41,6 +41,11 @@
         """Return the current term."""
         return self.replica.term if self.replica else 0
 
+    @property
+    def last_index(self) -> int:
+        """Return the index of the last entry in the log, committed or not."""
+        return self.replica.log.last_index if self.replica else 0
+
     def is_current_leader(self) -> bool:
         """Return whether this replica may serve reads and leases as the leader now."""
         replica = self.replica
--- a/src/sassafraswharf/fleet/control_node.py
+++ b/src/sassafraswharf/fleet/control_node.py
@@ -6,11 +6,9 @@
 import random
 import time
 
-from enum import Enum
 from pathlib import Path
 from typing import TYPE_CHECKING
 from typing import Final
-from typing import NamedTuple
 
 import msgspec
 
@@ -27,12 +25,16 @@
 from sassafraswharf.daemon.endless_task import run_endlessly
 from sassafraswharf.fleet.coordinator import Coordinator
 from sassafraswharf.fleet.first_start import record_first_start
+from sassafraswharf.fleet.fleet_planner import PROPOSAL_TIMEOUT_S
+from sassafraswharf.fleet.fleet_planner import FleetPlanner
 from sassafraswharf.fleet.fleet_state import FleetState
 from sassafraswharf.fleet.fleet_state import PlanCommand
 from sassafraswharf.fleet.fleet_state import decode_plan_reply
-from sassafraswharf.fleet.fleet_state import encode_fleet_change
 from sassafraswharf.fleet.fleet_state import encode_plan_command
 from sassafraswharf.fleet.lease_timing import LeaseTiming
+from sassafraswharf.fleet.plan_answer import OUTCOMES
+from sassafraswharf.fleet.plan_answer import PlanAnswer
+from sassafraswharf.fleet.plan_answer import PlanOutcome
 from sassafraswharf.fleet.read_api import PREFIX
 from sassafraswharf.fleet.read_api import ReadApi
 from sassafraswharf.fleet.state_feed import StateFeed
@@ -67,8 +69,6 @@
 GROUP_TIMING: Final = ReplicaTiming(
     heartbeat_s=0.15, election_min_s=0.6, election_max_s=1.0
 )
-PROPOSAL_TIMEOUT_S: Final = 3.0
-PLANNING_INTERVAL_S: Final = 0.1
 PEER_SILENCE_TIMEOUT_S: Final = 1.2
 """A connection between control hosts without received messages for this long is
 reopened, since the old one may never deliver again."""
@@ -77,31 +77,6 @@
 HEADER_TIMEOUT_S: Final = 5.0
 
 
-class PlanOutcome(Enum):
-    """The outcome of an operator's change."""
-
-    ACCEPTED = "accepted"
-    CONFLICT = "conflict"
-    INVALID = "invalid"
-    NOT_LEADER = "not leader"
-    UNKNOWN = "unknown"
-
-
-class PlanAnswer(NamedTuple):
-    """The outcome of a change; ``leader`` is the address to retry at."""
-
-    outcome: PlanOutcome
-    message: str
-    leader: str = ""
-
-
-OUTCOMES: Final = {
-    ResultCode.OK: PlanOutcome.ACCEPTED,
-    ResultCode.CONFIGURATION_CONFLICT: PlanOutcome.CONFLICT,
-    ResultCode.CONFIGURATION_INVALID: PlanOutcome.INVALID,
-}
-
-
 class ControlNode:
     """Runs one replica, serves routers and, as the leader, plans the fleet.
 
@@ -121,7 +96,6 @@
             LeaseTiming(election_s=GROUP_TIMING.election_max_s)
         )
         self.state_changed = ChangeSignal()
-        self.planning_due = asyncio.Event()
         self.heard_at: dict[str, float] = {}
         self.feed = StateFeed(self.state, log, node.zone)
         self.dialled_at: dict[str, float] = {}
@@ -132,6 +106,10 @@
             self.on_dropped,
         )
         self.group = self.create_group()
+        self.planner = FleetPlanner(
+            self.state, self.coordinator, self.group, self.feed, clock, log
+        )
+        self.planner.on_change = self.state_changed.notify
         self.server = HttpServer(
             self.handle,
             max_body_bytes=MAX_SYNC_BYTES,
@@ -175,7 +153,7 @@
         self.mailbox.start()
         await self.group.start()
         await self.server.start(self.node.address, self.node.first_peer_port)
-        self.tasks = [asyncio.create_task(run_endlessly("planning", self.plan_fleet))]
+        self.tasks = [asyncio.create_task(run_endlessly("planning", self.planner.run))]
 
     async def stop(self) -> None:
         """Transfer leadership and close everything."""
@@ -235,7 +213,7 @@
         self.coordinator.start_term(self.clock.now(), self.state.removal_version)
         self.feed.clear()
         self.state_changed.notify()
-        self.planning_due.set()
+        self.planner.on_role_change()
 
     @property
     def leads(self) -> bool:
@@ -319,7 +297,7 @@
         arrived_at = self.clock.now()
         self.coordinator.on_sync(report, arrived_at)
         self.feed.on_report(report)
-        self.planning_due.set()
+        self.planner.due.set()
         state = self.state
         while not self.feed.has_urgent_update(report):
             left_s = report.hold_s - (self.clock.now() - arrived_at)
@@ -343,57 +321,3 @@
             state.plan.version,
             state.fleet.version,
         )
-
-    async def plan_fleet(self) -> None:
-        """Commit the coordinator's changes one at a time while this host leads."""
-        while True:
-            await asyncio.sleep(PLANNING_INTERVAL_S / 4)
-            try:
-                async with asyncio.timeout(PLANNING_INTERVAL_S):
-                    await self.planning_due.wait()
-            except TimeoutError:
-                pass
-            self.planning_due.clear()
-            if self.group.is_current_leader():
-                self.feed.log_lag(self.coordinator.live_sessions, self.clock.now())
-                await self.commit_next_change()
-
-    async def commit_next_change(self) -> None:
-        """Commit the next change of the fleet, if there is one."""
-        keyed = [
-            service.name
-            for service in self.state.plan.plan.services
-            if service.is_keyed
-        ]
-        change = self.coordinator.next_change(self.state.fleet, keyed, self.clock.now())
-        if change is None:
-            return
-        done = await self.group.propose(encode_fleet_change(change), PROPOSAL_TIMEOUT_S)
-        if isinstance(done, Err):
-            self.log.record("fleet_change_failed", why=str(done.err_value))
-            return
-        self.feed.urgent.on_change(change, self.state.fleet.version)
-        self.log.record(
-            "fleet_change",
-            reason=change.reason,
-            version=self.state.fleet.version,
-            joined=[one.instance.name for one in change.upstreams],
-            left=[one.name for one in change.removed],
-            changed_rows={one.service: len(one.rows) for one in change.rows},
-            rows={
-                one.service: len(self.state.fleet.rows[one.service])
-                for one in change.rows
-            },
-            moving={
-                one.service: sum(row.is_moving for row in one.rows)
-                for one in change.rows
-            },
-            busy={
-                one.service: self.coordinator.utilisation_by_service.get(
-                    one.service, {}
-                )
-                for one in change.rows
-            },
-        )
-        self.state_changed.notify()
-        self.planning_due.set()
--- a/src/sassafraswharf/platform/operator_api.py
+++ b/src/sassafraswharf/platform/operator_api.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 from result import Err
 
-from sassafraswharf.fleet.control_node import PlanOutcome
+from sassafraswharf.fleet.plan_answer import PlanOutcome
 from sassafraswharf.platform import names
 from sassafraswharf.platform.documents import decode_patch
 from sassafraswharf.platform.documents import decode_replacement
