Acknowledge a change of the configuration once the routers have it

Cause: a change was acknowledged when it was in the replicated log, and sent to the routers at the same time. If the leader was lost in between, they waited for an election and then searched for the next leader among hosts that partly didn't answer. Each further loss of a leader added as much.

An accepted change is now answered when every router of the fleet has reported it, or 0.7 s after its commit, so that a frozen router doesn't hold up the operator. A new leader waits for the routers in the table, also when the change is sent again. The decision log says how long it took and who lagged.

--- a/src/sassafraswharf/fleet/control_node.py
+++ b/src/sassafraswharf/fleet/control_node.py
@@ -37,6 +37,7 @@
 from sassafraswharf.fleet.plan_answer import PlanOutcome
 from sassafraswharf.fleet.read_api import PREFIX
 from sassafraswharf.fleet.read_api import ReadApi
+from sassafraswharf.fleet.rollout import Rollout
 from sassafraswharf.fleet.state_feed import StateFeed
 from sassafraswharf.fleet.sync import EXPIRED_LEASE_S
 from sassafraswharf.fleet.sync import REQUEST_DECODER
@@ -95,6 +96,7 @@
         self.coordinator = Coordinator(
             LeaseTiming(election_s=GROUP_TIMING.election_max_s)
         )
+        self.rollout = Rollout(self.state, self.coordinator, clock)
         self.state_changed = ChangeSignal()
         self.heard_at: dict[str, float] = {}
         self.feed = StateFeed(self.state, log, node.zone)
@@ -238,7 +240,11 @@
     # Operators.
 
     async def change_plan(self, change: PlanChange, actor: str) -> PlanAnswer:
-        """Commit an operator's change and return its outcome."""
+        """Commit an operator's change and return its outcome.
+
+        An accepted change is answered once the routers have it, or after
+        ``MAX_ROLLOUT_WAIT_S``.
+        """
         if not self.group.is_current_leader():
             return PlanAnswer(
                 PlanOutcome.NOT_LEADER, "not the leader", self.leader_address
@@ -254,6 +260,10 @@
         if not self.can_acknowledge():
             return PlanAnswer(PlanOutcome.UNKNOWN, "too few copies of the log")
         reply = decode_plan_reply(done.ok_value)
+        self.state_changed.notify()
+        began = self.clock.now()
+        is_accepted = reply.code == ResultCode.OK
+        lagging = await self.rollout.wait(change.version) if is_accepted else ()
         self.log.record(
             "configuration",
             version=change.version,
@@ -261,8 +271,10 @@
             code=reply.code,
             why=reply.message,
             in_force=reply.version,
+            rollout_ms=round((self.clock.now() - began) * 1000),
+            lagging=len(lagging),
+            one_lagging=min(lagging, default=""),
         )
-        self.state_changed.notify()
         return PlanAnswer(OUTCOMES[ResultCode(reply.code)], reply.message)
 
     def read_plan(self) -> PlanDocument | None:
@@ -296,6 +308,7 @@
             return SyncReply(self.leader_address, self.control_addresses, 0.0)
         arrived_at = self.clock.now()
         self.coordinator.on_sync(report, arrived_at)
+        self.rollout.on_report()
         self.feed.on_report(report)
         self.planner.due.set()
         state = self.state
--- a/tests/provider/test_fleet.py
+++ b/tests/provider/test_fleet.py
@@ -16,6 +16,7 @@
 import aiohttp
 import pytest
 
+from sassafraswharf.gateway.control_link import LONG_POLL_S
 from sassafraswharf_bench.provider.fleet import BOOKING
 from sassafraswharf_bench.provider.fleet import DIARY
 from sassafraswharf_bench.provider.fleet import HOST
@@ -30,6 +31,7 @@
 
 
 SERVICES = [DIARY, DIARY, DIARY, BOOKING, BOOKING]
+SLOW_ROUTER_S = 0.3
 
 
 def run_scenario(
@@ -168,6 +170,32 @@
     run_scenario(tmp_path, 16, scenario)
 
 
+def test_an_acknowledged_change_needs_no_control_host_any_more(tmp_path: Path) -> None:
+    """Guards against a change that is late when the leader is lost right after it.
+
+    Routers that had not heard of the change served the old configuration until the
+    next leader was elected and found. Here one router is slow to hear of it, and there
+    is no next leader.
+    """
+
+    async def scenario(fleet: Fleet) -> None:
+        extra = {"pathPrefix": "/new/", "routeType": "idempotent", "service": BOOKING}
+        fleet.machines.signal("side-0", signal.SIGSTOP)
+        # The answer to its last report must not have the change.
+        await asyncio.sleep(2 * LONG_POLL_S)
+        loop = asyncio.get_running_loop()
+        loop.call_later(SLOW_ROUTER_S, fleet.machines.signal, "side-0", signal.SIGCONT)
+        assert await fleet.operator.replace(document(5, 1, new=extra)) == 200
+        for machine in fleet.machines.controls:
+            fleet.machines.kill(machine.name)
+        await asyncio.sleep(SLOW_ROUTER_S)
+        for machine in fleet.machines.routers:
+            reply = await fleet.caller(machine.name).send("GET", "/new/x", HOST)
+            assert reply.status == 200, machine.name
+
+    run_scenario(tmp_path, 40, scenario)
+
+
 def test_a_caller_that_leaves_ends_the_work(tmp_path: Path) -> None:
     """Guards against upstreams that work for disconnected callers (`give_up`)."""
 
