Limit the bytes of a ping and of an answer to the command line

A faulty upstream could make its router keep 16 MiB for each connection on which it sent a ping without end, and a command kept what a control host sent until its timeout of 5 s.

A ping may have 1 MiB now (413), an answer to the command line 64 MiB. The other clients had limits; tests show them for calls that grant keys, for heads and status lines of control hosts, and for settings with an odd entry among the seeds.

The test of the control link's endless reply writes to the socket itself now, so that it can leave a head open; its assertions are the same.

--- a/src/sassafraswharf/console/admin_client.py
+++ b/src/sassafraswharf/console/admin_client.py
@@ -31,6 +31,8 @@
 """Delay between attempts; an election takes at most 0.5 s."""
 
 REQUEST_TIMEOUT_S: Final = 5.0
+MAX_ANSWER_BYTES: Final = 67_108_864
+"""Several times the largest configuration with its audit trail."""
 CONNECT_TIMEOUT_S: Final = 1.0
 
 
@@ -139,7 +141,11 @@
             async with self.session.request(
                 method, url, params=query, json=body, headers=headers
             ) as response:
-                return _parse_response(url, response.status, await response.read())
+                data = await _read_limited(response)
+                if data is None:
+                    reason = f"{url}: the answer has over {MAX_ANSWER_BYTES} bytes"
+                    return _refusal(ResultCode.COMMAND_FAILED, reason)
+                return _parse_response(url, response.status, data)
         except aiohttp.ClientConnectorError as error:
             reason = error.os_error.strerror or str(error)
             return _refusal(ResultCode.PEER_UNREACHABLE, f"{url}: {reason}")
@@ -150,6 +156,16 @@
             return _refusal(ResultCode.PROPOSAL_TIMEOUT, f"{url}: {reason}")
 
 
+async def _read_limited(response: aiohttp.ClientResponse) -> bytes | None:
+    """Return the body, ``None`` if it is longer than ``MAX_ANSWER_BYTES``."""
+    data = bytearray()
+    async for part in response.content.iter_any():
+        data += part
+        if len(data) > MAX_ANSWER_BYTES:
+            return None
+    return bytes(data)
+
+
 def _is_retryable(refusal: Refusal, *, repeatable: bool) -> bool:
     if refusal.code == ResultCode.PROPOSAL_TIMEOUT:
         return repeatable
--- a/src/sassafraswharf/platform/main.py
+++ b/src/sassafraswharf/platform/main.py
@@ -49,6 +49,9 @@
 STDOUT_DESCRIPTOR = 1
 SETTINGS_POLL_INTERVAL_S = 1.0
 MAX_BODY_BYTES = 16_777_216
+"""Limit for configurations of operators."""
+MAX_PING_BYTES = 1_048_576
+"""An upstream that sends without end must not take the memory of other requests."""
 MAX_HEADER_BYTES = 16_384
 HEADER_TIMEOUT_S = 5.0
 
@@ -118,8 +121,8 @@
         HoldCalls() if node.grants_by_call else None,
     )
     api = EndpointApi(router, log)
-    control = create_server(api.handle_control)
-    readiness = create_server(api.handle_readiness)
+    control = create_server(api.handle_control, MAX_PING_BYTES)
+    readiness = create_server(api.handle_readiness, MAX_PING_BYTES)
     callers, ready = node.listen.callers, node.listen.readiness
     if callers is None or ready is None:
         reason = "listen.callers and listen.readiness are required beside an upstream"
@@ -201,11 +204,14 @@
             on_change(seen)
 
 
-def create_server(handler: Handler) -> HttpServer:
-    """Create an HTTP server for endpoints, operators and the provider."""
+def create_server(handler: Handler, max_body_bytes: int = MAX_BODY_BYTES) -> HttpServer:
+    """Create an HTTP server for endpoints, operators and the provider.
+
+    A longer body is answered with 413.
+    """
     return HttpServer(
         handler,
-        max_body_bytes=MAX_BODY_BYTES,
+        max_body_bytes=max_body_bytes,
         max_header_bytes=MAX_HEADER_BYTES,
         header_timeout_s=HEADER_TIMEOUT_S,
     )
--- a/tests/gateway/test_control_link.py
+++ b/tests/gateway/test_control_link.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 
 from collections.abc import Awaitable
@@ -120,29 +121,39 @@
     asyncio.run(main())
 
 
-def test_an_endless_reply_of_a_control_host_is_aborted_at_once() -> None:
-    """Guards against an endless body that fills memory until its timeout.
+@pytest.mark.parametrize(
+    "beginning",
+    [
+        pytest.param(b"HTTP/1.1 200 OK\r\n\r\n", id="body"),
+        pytest.param(b"HTTP/1.1 200 OK\r\nX: ", id="head"),
+        pytest.param(b"", id="status line"),
+    ],
+)
+def test_an_endless_reply_of_a_control_host_is_aborted_at_once(
+    beginning: bytes,
+) -> None:
+    """Guards against endless bytes that fill memory until their timeout.
 
     Complete replies are shorter than 64 KB, since changes are sent in parts.
     """
 
     async def main() -> None:
-        async def handle(request: web.BaseRequest) -> web.StreamResponse:
-            response = web.StreamResponse()
-            await response.prepare(request)
-            while True:
-                await response.write(bytes(65_536))
-
-        server = HttpServer(
-            handle, max_body_bytes=65_536, max_header_bytes=8_192, header_timeout_s=5.0
-        )
-        await server.start(LEADER, 17_710)
+        async def handle(
+            _reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(beginning)
+            with contextlib.suppress(ConnectionError):
+                while True:
+                    writer.write(b"x" * 65_536)
+                    await writer.drain()
+
+        server = await asyncio.start_server(handle, LEADER, 17_710)
         link = make_link((LEADER,), StoppedClock(), 17_710)
         async with asyncio.timeout(ANSWER_TIMEOUT_S / 2):
             connection, answered = await link.exchange(None, 0.0)
         assert (connection, answered) == (None, False)
         assert link.received_bytes < 1_048_576
-        await server.stop()
+        server.close()
 
     asyncio.run(main())
 
--- a/tests/gateway/test_hold_client.py
+++ b/tests/gateway/test_hold_client.py
@@ -22,6 +22,8 @@
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 RELEASED = b"HTTP/1.1 200 OK\r\nHandover: token\r\nContent-Length: 0\r\n\r\n"
 WORK_S = 0.2
+LIMIT_BYTES = 64 * 1_048_576
+"""More than the buffers of both sockets hold."""
 Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
 
@@ -108,6 +110,44 @@
     run(script, check)
 
 
+@pytest.mark.parametrize("call", ["grant", "release"])
+@pytest.mark.parametrize(
+    "beginning",
+    [
+        pytest.param(b"", id="status line"),
+        pytest.param(b"HTTP/1.1 200 OK\r\nX: ", id="head"),
+        pytest.param(b"HTTP/1.1 200 OK\r\n\r\n", id="body"),
+        pytest.param(OK.replace(b": 0", b": 999999999999"), id="body with a length"),
+    ],
+)
+def test_bytes_without_end_end_a_call_at_once(beginning: bytes, call: str) -> None:
+    """Guards against a router that runs out of memory because of one upstream."""
+    sent = 0
+
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        nonlocal sent
+        await read_call(reader)
+        writer.write(beginning)
+        while sent < LIMIT_BYTES:
+            writer.write(b"x" * 65_536)
+            sent += 65_536
+            await writer.drain()
+
+    async def check(client: HoldClient) -> None:
+        calls = {
+            "grant": lambda: client.grant("i-1", lambda: (ROW, 3.0)),
+            "release": lambda: client.release("i-1", HELD),
+        }
+        with pytest.raises(UNKNOWN_OUTCOME_ERRORS):
+            await calls[call]()
+        await asyncio.sleep(0.1)
+        assert sent < LIMIT_BYTES
+
+    run(script, check)
+
+
 def test_calls_to_grant_share_a_connection() -> None:
     """Guards against a new connection for each renewal of a hold."""
     opened: list[int] = []
--- a/tests/platform/test_settings_watch.py
+++ b/tests/platform/test_settings_watch.py
@@ -6,6 +6,7 @@
 import json
 import sys
 
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 import pytest
@@ -18,8 +19,6 @@
 
 
 if TYPE_CHECKING:
-    from pathlib import Path
-
     from sassafraswharf.settings.node_schema import Node
 
 
@@ -34,6 +33,13 @@
         path.write_bytes(content)
 
 
+def seeds_with(odd: object) -> bytes:
+    """Return settings with one odd entry among the seeds."""
+    settings = rendered(Path(), HOST)
+    settings["control_seeds"].append(odd)
+    return json.dumps(settings).encode()
+
+
 async def change(path: Path, contents: list[bytes | None]) -> list[Node]:
     """Return the settings that are applied while the file gets each content in turn."""
     taken: list[Node] = []
@@ -58,6 +64,12 @@
         pytest.param([b"[]", b"{}"], id="other values"),
         pytest.param([None], id="no file"),
         pytest.param([b'{"host"', None, b"{", b"null"], id="several"),
+        pytest.param([b"[" * 100_000], id="nested deeply"),
+        pytest.param([b'{"host":' + b"9" * 5_000 + b"}"], id="a long number"),
+        pytest.param([seeds_with("10.0.0.1:65536")], id="a port out of range"),
+        pytest.param([seeds_with("10.0.0.1:" + "9" * 5_000)], id="a long port"),
+        pytest.param([seeds_with(10**400)], id="a seed that is a number"),
+        pytest.param([seeds_with([[[]]])], id="a nested seed"),
     ],
 )
 def test_settings_that_were_broken_for_a_moment_are_followed_again(
