Acknowledge no leave of an upstream that may still run and isn't recorded

Cause: a router that was down for over 4.7 s finds its upstream neither in the fleet table nor among its heartbeats, and took that for gone. It acknowledged the leave, recorded it nowhere, and the next heartbeat made the upstream a new server.

A leave is acknowledged now if the table has it, or if the router has seen the upstream end or another one run at its address. Otherwise the upstream gets 503, repeats the call, and its leave is recorded after its next heartbeat.

One case of test_announcements.py is replaced: a router that has heard nobody and finds nobody in the table was to acknowledge, which is this fault. It asks for 503 now, and there are new cases for upstreams that ended or were replaced.

--- a/src/sassafraswharf/gateway/announcements.py
+++ b/src/sassafraswharf/gateway/announcements.py
@@ -132,19 +132,30 @@
         return False
 
     def is_leave_known(self, instance: Instance) -> bool:
-        """Return whether no router process will send new requests to the upstream."""
+        """Return whether no router process will send new requests to the upstream.
+
+        One that is neither in the fleet table nor known to have ended may still run:
+        the table loses an upstream whose router was down for long. It joins again
+        with its next heartbeat, and then its leave can be recorded.
+        """
         fleet = self.view.fleet
         if not fleet.version:
             return False
         known = [one for one in fleet.upstreams if is_same_incarnation(one, instance)]
+        if known:
+            return all(fleet.upstreams[one].draining for one in known)
+        return self.has_ended(instance)
+
+    def has_ended(self, instance: Instance) -> bool:
+        """Return whether an upstream has ended, as far as this process has seen.
+
+        Another one that runs at its address shows that, too.
+        """
+        ended = self.local.ended_instances
+        if any(is_same_incarnation(one, instance) for one in ended):
+            return True
         beat = self.local.beat
-        if (
-            not known
-            and beat is not None
-            and is_same_incarnation(beat.instance, instance)
-        ):
-            return False
-        return all(fleet.upstreams[one].draining for one in known)
+        return beat is not None and not is_same_incarnation(beat.instance, instance)
 
 
 def is_same_incarnation(known: Instance, named: Instance) -> bool:
--- a/tests/gateway/test_announcements.py
+++ b/tests/gateway/test_announcements.py
@@ -9,6 +9,7 @@
 import pytest
 
 from sassafraswharf.clock import BootClock
+from sassafraswharf.fleet.fleet_state import VersionedFleet
 from sassafraswharf.fleet.values import FleetChange
 from sassafraswharf.fleet.values import Instance
 from sassafraswharf.fleet.values import Upstream
@@ -25,6 +26,7 @@
 SELF = Instance("i-1", 7)
 EARLIER = Instance("i-1", 5)
 UNBORN = Instance("i-1", 0)
+OTHER = Instance("i-2", 9)
 
 
 def known(instance: Instance, *, draining: bool) -> Upstream:
@@ -41,7 +43,9 @@
         (SELF, [], SELF, False),
         (SELF, None, SELF, False),
         (None, None, SELF, False),
-        (None, [], SELF, True),
+        (None, [], SELF, False),
+        (None, [known(OTHER, draining=False)], SELF, False),
+        (OTHER, [known(OTHER, draining=False)], SELF, True),
         (SELF, [known(SELF, draining=False)], EARLIER, True),
     ],
 )
@@ -74,3 +78,55 @@
 
     assert asyncio.run(main()) is is_known
     assert is_known or reports
+
+
+@pytest.mark.parametrize("leaves", [SELF, UNBORN])
+def test_the_leave_of_an_ended_upstream_is_acknowledged(leaves: Instance) -> None:
+    """Guards against an upstream whose leave is refused after it was removed."""
+    delivery: Any = None
+
+    async def main() -> bool:
+        clock = BootClock()
+        log = DecisionLog("h", -1)
+        view = FleetView(DocumentReader(), log)
+        view.fleet.apply(3, FleetChange())
+        local = make_local(ADDRESS, clock=clock)
+        local.on_end(SELF, clock.now())
+        listener = Announcements(local, delivery, view, lambda: None, str, clock, log)
+        return await listener.on_leave(leaves)
+
+    assert asyncio.run(main())
+
+
+def test_a_leave_is_recorded_once_the_upstream_is_heard_again() -> None:
+    """Guards against a leave that a restarted router acknowledges and forgets.
+
+    The router was down for so long that the fleet table lost its upstream. The
+    upstream repeats its leave until it is acknowledged.
+    """
+    reports: list[int] = []
+    delivery: Any = None
+
+    async def main() -> tuple[bool, bool]:
+        clock = BootClock()
+        log = DecisionLog("h", -1)
+        view = FleetView(DocumentReader(), log)
+        view.fleet.apply(3, FleetChange())
+        local = make_local(ADDRESS, clock=clock)
+
+        def report() -> None:
+            reports.append(1)
+            beat = local.beat
+            if beat is not None:
+                joined = known(beat.instance, draining=beat.draining)
+                change = VersionedFleet(4, FleetChange((joined,)))
+                asyncio.get_running_loop().call_soon(view.apply_fleet_changes, [change])
+
+        listener = Announcements(local, delivery, view, report, str, clock, log)
+        before = await listener.on_leave(SELF)
+        local.on_heartbeat(
+            Heartbeat(SELF, "desk", ADDRESS, 4, False, 0.0, 1), clock.now()
+        )
+        return before, await listener.on_leave(SELF)
+
+    assert asyncio.run(main()) == (False, True)
