Keep the record of a leave while its router or upstream isn't heard

Cause: the leader removes an upstream whose router is silent for 4.7 s, and with its row the only record that it leaves. The router's next process takes the next heartbeat for that of a new server. The same holds for a leaving server that is frozen for over 4 s.

A leaving upstream that is only not heard stays in the table for 120 s, without keys. It is removed at once where it is known to have ended. Changes of the configuration don't wait for its router.

--- a/src/sassafraswharf/fleet/coordinator.py
+++ b/src/sassafraswharf/fleet/coordinator.py
@@ -8,6 +8,7 @@
 from sassafraswharf.fleet.crash_table import checksum
 from sassafraswharf.fleet.fleet_table import changed_rows
 from sassafraswharf.fleet.fleet_table import free_rows
+from sassafraswharf.fleet.fleet_table import freed_rows
 from sassafraswharf.fleet.key_placement import Candidate
 from sassafraswharf.fleet.key_placement import KeyPlacement
 from sassafraswharf.fleet.key_weights import KeyWeights
@@ -38,6 +39,9 @@
 SILENT_UPSTREAM_TIMEOUT_S = 4.0
 """An upstream that holds no keys and sends no heartbeats is removed after this
 time."""
+LEAVE_RETENTION_S = 120.0
+"""An upstream that leaves may go on for long beside a router that is down or doesn't
+hear it. Its record is kept as long, so that it gets no work when it is heard again."""
 DEFAULT_RATE_PER_SLOT = 10.0
 """Requests per second that one slot is assumed to serve until a rate is
 measured."""
@@ -148,8 +152,8 @@
             for instance, upstream in reports.items()
             if table.upstreams.get(instance) != upstream and instance not in removed
         ]
-        if joined or removed:
-            freed = self._free_rows_of(table, set(removed))
+        freed = freed_rows(table, {*removed, *self.renewal.lost_upstreams})
+        if joined or removed or freed:
             return FleetChange(
                 tuple(joined), tuple(removed), tuple(freed), "membership"
             )
@@ -194,7 +198,9 @@
         self.renewal.keep_only(table.upstreams)
         for upstream in table.upstreams.values():
             if not self._may_have_lease(upstream, now):
-                self.renewal.on_lost(upstream, table)
+                self.renewal.on_lost(upstream, table, now)
+            elif upstream.draining and not table.rows_of(upstream.instance):
+                self.renewal.on_returned(upstream.instance)
 
     def _may_have_lease(self, upstream: Upstream, now: float) -> bool:
         """Return whether the router of an upstream may still have a lease."""
@@ -210,9 +216,13 @@
         the keys until it learns of the removal. So the rows of a lapsed upstream are
         moved first, which the router confirms.
         """
-        if instance in self.ended_instances or instance in self.renewal.lost_upstreams:
+        if instance in self.ended_instances:
             return True
         upstream = table.upstreams[instance]
+        retention_s = LEAVE_RETENTION_S if upstream.draining else 0.0
+        lost_at = self.renewal.lost_upstreams.get(instance)
+        if lost_at is not None:
+            return now - lost_at >= retention_s
         session = self.sessions.get(upstream.host)
         if session is None:
             return False
@@ -221,44 +231,35 @@
             # Both incarnations use the same address beside the router, so the
             # earlier one must have exited before the later one could bind it.
             return True
-        return self._has_lapsed(instance, session, now) and not any(
+        return self._has_lapsed(instance, session, now, retention_s) and not any(
             instance in {row.owner, row.target}
             for row in table.rows.get(upstream.service, ())
         )
 
     def _has_lapsed(
-        self, instance: Instance, session: RouterSession, now: float
+        self,
+        instance: Instance,
+        session: RouterSession,
+        now: float,
+        retention_s: float = 0.0,
     ) -> bool:
-        """Return whether an upstream held no keys when its router sent its report."""
+        """Return whether an upstream held no keys when its router sent its report.
+
+        It must have been silent for ``retention_s`` or longer.
+        """
         report = session.request.upstream
         if report is None or report.instance != instance:
             # The router has restarted and doesn't know this incarnation. Its last
             # hold expires within the lease of the earlier router process.
-            return now - session.first_heard_at > self.timing.takeover_s
-        return holds_nothing(report)
+            heard_s = now - session.first_heard_at
+            return heard_s > max(self.timing.takeover_s, retention_s)
+        return holds_nothing(report) and report.silent_s >= retention_s
 
     def _has_lapsed_at(self, upstream: Upstream, now: float) -> bool:
         """Return whether the router of an upstream reports it as lapsed."""
         session = self.sessions.get(upstream.host)
         return session is not None and self._has_lapsed(upstream.instance, session, now)
 
-    def _free_rows_of(
-        self, table: FleetTable, removed: set[Instance]
-    ) -> list[ServiceRows]:
-        """Return the rows of removed upstreams, changed to have no owner."""
-        changed = []
-        for service, rows in table.rows.items():
-            if not any(row.owner in removed for row in rows):
-                continue
-            freed = tuple(
-                KeyRow(row.first, row.last, NO_INSTANCE, 0)
-                if row.owner in removed
-                else row
-                for row in rows
-            )
-            changed.append(ServiceRows(service, changed_rows(rows, freed)))
-        return changed
-
     def _next_rows(
         self, service: str, table: FleetTable, now: float
     ) -> tuple[KeyRow, ...] | None:
--- a/src/sassafraswharf/fleet/fleet_table.py
+++ b/src/sassafraswharf/fleet/fleet_table.py
@@ -132,6 +132,20 @@
     return (KeyRow(0, KEY_COUNT - 1, NO_INSTANCE, 0),)
 
 
+def freed_rows(table: FleetTable, owners: set[Instance]) -> list[ServiceRows]:
+    """Return the rows of these owners, changed to have none."""
+    changed = []
+    for service, rows in table.rows.items():
+        if not any(row.owner in owners for row in rows):
+            continue
+        freed = tuple(
+            KeyRow(row.first, row.last, NO_INSTANCE, 0) if row.owner in owners else row
+            for row in rows
+        )
+        changed.append(ServiceRows(service, changed_rows(rows, freed)))
+    return changed
+
+
 def merge_rows(rows: list[KeyRow]) -> tuple[KeyRow, ...]:
     """Merge neighbours that differ only in their keys, to keep tables small."""
     merged: list[KeyRow] = []
--- a/src/sassafraswharf/fleet/lease_renewal.py
+++ b/src/sassafraswharf/fleet/lease_renewal.py
@@ -15,6 +15,8 @@
 class LeaseRenewal:
     """Remembers the routers whose leases have ended and which table they need.
 
+    ``lost_upstreams`` are the upstreams beside them, with the time of the loss.
+
     The keys of a router without a lease are assigned to others without its consent.
     With a lease and a table from before that, it would grant them once more.
     """
@@ -22,7 +24,7 @@
     def __init__(self, removal_version: int = 0) -> None:
         """Start a term; earlier leaders removed upstreams up to a table version."""
         self.removal_version = removal_version
-        self.lost_upstreams: set[Instance] = set()
+        self.lost_upstreams: dict[Instance, float] = {}
         self.needed_versions: dict[str, int] = {}
 
     def may_renew(self, request: SyncRequest) -> bool:
@@ -30,16 +32,25 @@
         needed = self.needed_versions.get(request.host, self.removal_version)
         return request.fleet_version >= needed
 
-    def on_lost(self, upstream: Upstream, table: FleetTable) -> None:
+    def on_lost(self, upstream: Upstream, table: FleetTable, now: float) -> None:
         """Record that the router of an upstream has no lease any more.
 
         This is final, since the change that removes the upstream may be committed
-        at any later time. It will have a version above that of the table.
+        at any later time. It will have a version above that of the table. An upstream
+        that leaves stays in the table, without keys.
         """
         if upstream.instance not in self.lost_upstreams:
-            self.lost_upstreams.add(upstream.instance)
+            self.lost_upstreams[upstream.instance] = now
             self.needed_versions[upstream.host] = table.version + 1
 
+    def on_returned(self, instance: Instance) -> None:
+        """Record that the router of an upstream without keys reports again."""
+        self.lost_upstreams.pop(instance, None)
+
     def keep_only(self, upstreams: dict[Instance, Upstream]) -> None:
         """Forget the lost upstreams that the table has no more."""
-        self.lost_upstreams &= upstreams.keys()
+        self.lost_upstreams = {
+            instance: at
+            for instance, at in self.lost_upstreams.items()
+            if instance in upstreams
+        }
--- a/src/sassafraswharf/fleet/rollout.py
+++ b/src/sassafraswharf/fleet/rollout.py
@@ -46,7 +46,9 @@
         A new leader has no reports yet, so the hosts of the fleet table count as well.
         """
         sessions = self.coordinator.sessions
-        expected = {one.host for one in self.state.fleet.upstreams.values()}
+        lost = self.coordinator.renewal.lost_upstreams
+        upstreams = self.state.fleet.upstreams.values()
+        expected = {one.host for one in upstreams if one.instance not in lost}
         live = self.coordinator.live_sessions(self.clock.now())
         expected.update(one.request.host for one in live)
         return {
--- a/tests/fleet/test_rollout.py
+++ b/tests/fleet/test_rollout.py
@@ -96,11 +96,15 @@
     asyncio.run(main())
 
 
-def test_a_lost_router_is_waited_for_until_it_leaves_the_fleet() -> None:
-    """Guards against changes that are slow for good after the loss of a host."""
+@pytest.mark.parametrize("leaves", [False, True])
+def test_a_lost_router_is_waited_for_until_its_lease_has_ended(leaves: bool) -> None:
+    """Guards against changes that are slow for long after the loss of a host."""
 
     async def main() -> None:
         fleet = started()
+        if leaves:
+            fleet.draining.add("a")
+            fleet.step()
         fleet.silent.add("a")
         for _ in range(10):
             fleet.step(0.5)
