Recognise a streamed request that crashes upstreams by the beginning of its body

Cause: requests are recognised by a digest of the whole body, which a router never has for a streamed one. So these were left out of the attribution of crashes.

Their digest covers the first 256 KiB now, which both routers read before they send the request on.

--- a/src/sassafraswharf/gateway/crash_evidence.py
+++ b/src/sassafraswharf/gateway/crash_evidence.py
@@ -52,8 +52,8 @@
 
     def on_lost(self, work: Work) -> None:
         """Record a request whose connection was lost after it was sent."""
-        if work.rest is None:
-            self.lost.append(work)
+        # The rest would keep the beginning of its body in memory.
+        self.lost.append(work._replace(rest=None))
 
     def on_answer(self) -> None:
         """Clear the lost requests, since the upstream still answers."""
@@ -77,7 +77,7 @@
 
     def crashes_of(self, work: Work) -> int:
         """Return how many crashes are attributed to a request."""
-        if not self.suspects or work.rest is not None:
+        if not self.suspects:
             return 0
         return self.suspects.get(digest_of(work), 0)
 
@@ -87,7 +87,7 @@
 
     def on_success(self, work: Work, now: float) -> None:
         """Record a suspect that was answered as harmless."""
-        if not self.suspects or work.rest is not None:
+        if not self.suspects:
             return
         digest = digest_of(work)
         if digest in self.suspects:
@@ -105,6 +105,10 @@
 
 
 def digest_of(work: Work) -> bytes:
-    """Return a digest that a request and its resends from any host share."""
+    """Return a digest that a request and its resends from any host share.
+
+    Streamed requests are told apart by the beginning of their bodies only.
+    """
     key = "" if work.key is None else str(work.key)
-    return request_digest(work.method, work.target, key, work.body)
+    content = work.stream_digest or work.body
+    return request_digest(work.method, work.target, key, content)
--- a/src/sassafraswharf/gateway/hop_server.py
+++ b/src/sassafraswharf/gateway/hop_server.py
@@ -15,6 +15,7 @@
 from sassafraswharf.gateway.hop_codec import OUTCOME
 from sassafraswharf.gateway.hop_codec import decode_hop
 from sassafraswharf.gateway.hop_codec import encode_outcome
+from sassafraswharf.gateway.message_text import digest_of_beginning
 from sassafraswharf.gateway.message_text import encode_chunked
 from sassafraswharf.gateway.message_text import read_body
 from sassafraswharf.gateway.responses import NOT_RUN_STATUS
@@ -121,6 +122,7 @@
             hop.key,
             hop.repeatable,
             hop.terms,
+            digest_of_beginning(body) if rest is not None else b"",
         )
 
     def reject(self, rejection: Rejection) -> web.Response:
--- a/src/sassafraswharf/gateway/message_text.py
+++ b/src/sassafraswharf/gateway/message_text.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from hashlib import blake2b
 from typing import TYPE_CHECKING
 from typing import Final
 
@@ -20,6 +21,7 @@
 
 MAX_BUFFERED_BODY_BYTES: Final = 262_144
 """Longer bodies are streamed, so that memory stays bounded."""
+DIGEST_BYTES: Final = 16
 BODYLESS_METHODS: Final = frozenset({"GET", "HEAD", "OPTIONS", "DELETE", "TRACE"})
 
 
@@ -88,6 +90,14 @@
             return bytes(body), remaining_body(content)
 
 
+def digest_of_beginning(body: bytes) -> bytes:
+    """Return a digest of the first bytes of a body that is too long to buffer.
+
+    It is the same however the bytes are split on their way.
+    """
+    return blake2b(body[:MAX_BUFFERED_BODY_BYTES], digest_size=DIGEST_BYTES).digest()
+
+
 async def remaining_body(content: StreamReader) -> AsyncIterator[bytes]:
     """Yield the rest of a body."""
     while not content.at_eof():
--- a/src/sassafraswharf/gateway/request_reader.py
+++ b/src/sassafraswharf/gateway/request_reader.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from sassafraswharf.codes import ResultCode
+from sassafraswharf.gateway.message_text import digest_of_beginning
 from sassafraswharf.gateway.message_text import encode_chunked
 from sassafraswharf.gateway.message_text import read_body
 from sassafraswharf.gateway.work import Rejection
@@ -128,6 +129,7 @@
             key,
             route.repeatable,
             self.terms_of(request, route, now),
+            digest_of_beginning(body) if rest is not None else b"",
         )
 
     def reject_by_configuration(
--- a/src/sassafraswharf/gateway/work.py
+++ b/src/sassafraswharf/gateway/work.py
@@ -47,8 +47,9 @@
 class Work(NamedTuple):
     """A request on its way to an upstream.
 
-    ``rest`` yields what follows ``body`` in a streamed request, which can be sent
-    only once. ``key`` is ``None`` for a service that is not sharded by key.
+    ``rest`` yields the body of a streamed request, which can be sent only once;
+    ``stream_digest`` is that of its beginning. ``key`` is ``None`` for a service that
+    is not sharded by key.
     """
 
     request_id: str
@@ -62,6 +63,7 @@
     key: int | None
     repeatable: bool
     terms: Terms
+    stream_digest: bytes = b""
 
     @property
     def is_sent_once(self) -> bool:
