Harm the links to control hosts in the soak and check for late routes

The users' report of late configurations could not have been found by the soak: it harmed no link to a control host and read the configuration from control hosts only.

Routers reach each control host through a loopback proxy now, which can be slow, reset or silent one way. Each acknowledged change with an added route is followed by a request for it at every router 2 s later, and once more 7 s later for runs in which a control host was disturbed; a 404 is a break unless the router itself was disturbed.

--- a/src/sassafraswharf_bench/soak/__main__.py
+++ b/src/sassafraswharf_bench/soak/__main__.py
@@ -107,6 +107,7 @@
         "runs": len(ledger.runs),
         "holds": len(ledger.holds),
         "leaves": len(ledger.leaves),
+        "rollouts": len(ledger.rollouts),
         "changes": sum(one.status == ACKNOWLEDGED for one in ledger.changes),
         "overruns": signals.count("overrun"),
         "lag_s": round(ledger.loop_lag_s, 3),
--- a/src/sassafraswharf_bench/soak/checks.py
+++ b/src/sassafraswharf_bench/soak/checks.py
@@ -11,6 +11,7 @@
 from sassafraswharf_bench.soak.answer_checks import check_runs
 from sassafraswharf_bench.soak.configuration_checks import check_changes
 from sassafraswharf_bench.soak.configuration_checks import check_reads
+from sassafraswharf_bench.soak.configuration_checks import check_rollouts
 from sassafraswharf_bench.soak.configuration_checks import check_routes
 from sassafraswharf_bench.soak.stop_checks import check_losses
 from sassafraswharf_bench.soak.stop_checks import check_processes
@@ -35,6 +36,7 @@
     check_changes,
     check_reads,
     check_routes,
+    check_rollouts,
 )
 
 
--- a/src/sassafraswharf_bench/soak/configuration_checks.py
+++ b/src/sassafraswharf_bench/soak/configuration_checks.py
@@ -6,6 +6,7 @@
 from typing import Any
 from typing import Final
 
+from sassafraswharf_bench.soak.disturbances import Disturbances
 from sassafraswharf_bench.soak.violation import Violation
 
 
@@ -13,11 +14,15 @@
     from collections.abc import Iterator
 
     from sassafraswharf_bench.soak.ledger import Ledger
+    from sassafraswharf_bench.soak.ledger import RolloutProbe
 
 
 PROPAGATION_WINDOW_S: Final = 2.0
 """Reads sent this long after an acknowledgement must return the change."""
+MAX_SKEW_S: Final = 5.0
+"""While control hosts are disturbed, a change may be in force this much later."""
 ACKNOWLEDGED: Final = 200
+UNKNOWN_ROUTE: Final = 404
 CONTENT: Final = ("routes", "services", "limits")
 
 
@@ -81,3 +86,30 @@
         if probe.status != expected:
             text = f"{probe.name} answers {probe.status}, {expected} is expected"
             yield Violation("CONFIG", probe.host, text)
+
+
+def check_rollouts(ledger: Ledger) -> Iterator[Violation]:
+    """Yield routers that don't know a route some time after its acknowledgement."""
+    disturbances = Disturbances(ledger)
+    answered_at = {one.version: one.answered_at for one in ledger.changes}
+    for probe in ledger.rollouts:
+        if probe.status != UNKNOWN_ROUTE or may_be_removed(ledger, probe):
+            continue
+        since, at = answered_at[probe.version], probe.sent_at
+        if disturbances.is_disturbed(probe.host, at, at):
+            continue
+        is_late_for_all = at >= since + PROPAGATION_WINDOW_S + MAX_SKEW_S
+        if is_late_for_all or disturbances.is_connected(probe.host, since, at):
+            text = (
+                f"{probe.name} of {probe.version} is unknown after {at - since:.1f} s"
+            )
+            yield Violation("CONFIG", probe.host, text)
+
+
+def may_be_removed(ledger: Ledger, probe: RolloutProbe) -> bool:
+    """Return whether a later change without the route was sent before the probe."""
+    return any(
+        all(one["name"] != probe.name for one in change.document["routes"])
+        for change in ledger.changes
+        if change.version > probe.version and change.sent_at <= probe.sent_at
+    )
--- a/src/sassafraswharf_bench/soak/injector.py
+++ b/src/sassafraswharf_bench/soak/injector.py
@@ -12,6 +12,7 @@
 
 from sassafraswharf_bench.soak.ledger import Signal
 from sassafraswharf_bench.soak.schedule import CONFIGURATION
+from sassafraswharf_bench.soak.schedule import CONTROL_LINK
 from sassafraswharf_bench.soak.schedule import FAULT_KINDS
 from sassafraswharf_bench.soak.schedule import UPSTREAM
 from sassafraswharf_bench.soak.stop_checks import STOP_GRACE_S
@@ -26,9 +27,11 @@
     from sassafraswharf_bench.soak.configuration import ConfigurationChanger
     from sassafraswharf_bench.soak.fault import Fault
     from sassafraswharf_bench.soak.fleet import SoakFleet
+    from sassafraswharf_bench.soak.link_proxy import LinkProxy
 
 
 POLL_S: Final = 0.02
+CONTROL_LINK_PREFIX: Final = "control_"
 WATCH_PERIOD_S: Final = 0.5
 """Interval of the check for processes that exited unexpectedly."""
 SIGHUP_READY_S: Final = 2.0
@@ -68,6 +71,10 @@
             "link_reset": self.reset_link,
             "link_silence_up": self.degrade_link,
             "link_silence_down": self.degrade_link,
+            "control_link_delay": self.degrade_link,
+            "control_link_reset": self.reset_link,
+            "control_link_silence_up": self.degrade_link,
+            "control_link_silence_down": self.degrade_link,
             "change_timeout": self.change,
             "change_idle": self.change,
             "add_route": self.change,
@@ -89,7 +96,7 @@
         if place == CONFIGURATION or fault.kind == "hangup":
             await self.actions[fault.kind](fault)
             return
-        part = UPSTREAM if place == UPSTREAM else "process"
+        part = place if place in {UPSTREAM, CONTROL_LINK} else "process"
         async with self.locks[part, fault.target]:
             await self.actions[fault.kind](fault)
 
@@ -196,20 +203,26 @@
         upstream.answer_fault = ""
 
     async def degrade_link(self, fault: Fault) -> None:
-        """Delay or block data between an upstream and its router."""
-        link = self.fleet.upstreams[fault.target].link
+        """Delay or block data on the link of an upstream or control host."""
+        link = self.link_of(fault)
         self.record_signal(fault.target, "harm")
-        link.degrade(fault.kind)
+        link.degrade(fault.kind.removeprefix(CONTROL_LINK_PREFIX))
         await asyncio.sleep(fault.length_s)
         link.restore()
         self.record_signal(fault.target, "heal")
 
     async def reset_link(self, fault: Fault) -> None:
-        """Reset the connections between an upstream and its router."""
+        """Reset the connections on the link of an upstream or control host."""
         self.record_signal(fault.target, "harm")
-        self.fleet.upstreams[fault.target].link.reset()
+        self.link_of(fault).reset()
         self.record_signal(fault.target, "heal")
 
+    def link_of(self, fault: Fault) -> LinkProxy:
+        """Return the link that a fault harms."""
+        if fault.kind.startswith(CONTROL_LINK_PREFIX):
+            return self.fleet.control_links[fault.target]
+        return self.fleet.upstreams[fault.target].link
+
     async def change(self, fault: Fault) -> None:
         """Change the configuration."""
         await self.changes.change(fault.kind)
--- a/src/sassafraswharf_bench/soak/ledger.py
+++ b/src/sassafraswharf_bench/soak/ledger.py
@@ -82,7 +82,7 @@
 
     ``kind`` is ``term``, ``kill``, ``overrun`` (killed at the end of the grace),
     ``ended`` (by itself), ``start``, ``freeze``, ``thaw``, ``hangup``, or ``harm`` and
-    ``heal`` for the link to its upstream.
+    ``heal`` for the link to its upstream, or from the routers to a control host.
     """
 
     host: str
@@ -118,6 +118,16 @@
     status: int
 
 
+class RolloutProbe(NamedTuple):
+    """What a router said, a while after a change, to a request for an added route."""
+
+    version: int
+    host: str
+    name: str
+    sent_at: float
+    status: int
+
+
 class Ledger:
     """Collects the records of one run."""
 
@@ -131,6 +141,7 @@
         self.changes: list[Change] = []
         self.reads: list[ConfigurationRead] = []
         self.probes: list[RouteProbe] = []
+        self.rollouts: list[RolloutProbe] = []
         self.probe_ids: set[str] = set()
         self.is_recovered = True
         self.loop_lag_s = 0.0
--- a/src/sassafraswharf_bench/soak/link_proxy.py
+++ b/src/sassafraswharf_bench/soak/link_proxy.py
@@ -1,4 +1,7 @@
-"""TCP proxy between a router and its upstream that can delay or block data."""
+"""TCP proxy that can delay or block data between two processes.
+
+It stands between a router and its upstream, or between all routers and a control host.
+"""
 
 from __future__ import annotations
 
@@ -15,7 +18,7 @@
 
 
 class LinkProxy:
-    """Forwards bytes in both directions.
+    """Forwards bytes in both directions; ``up`` is to the upstream or control host.
 
     While it is degraded by ``link_delay``, ``link_silence_up`` or
     ``link_silence_down``, bytes and ends of connections are held back; they are
--- a/src/sassafraswharf_bench/soak/schedule.py
+++ b/src/sassafraswharf_bench/soak/schedule.py
@@ -18,6 +18,7 @@
 ROUTER: Final = "router"
 CONTROL: Final = "control"
 UPSTREAM: Final = "upstream"
+CONTROL_LINK: Final = "control link"
 CONFIGURATION: Final = "configuration"
 ANY_PROCESS: Final = "any"
 
@@ -64,6 +65,10 @@
     "link_reset": FaultKind(1, UPSTREAM, 0.0, 0.0),
     "link_silence_up": FaultKind(1, UPSTREAM, 0.3, 3.0),
     "link_silence_down": FaultKind(1, UPSTREAM, 0.3, 3.0),
+    "control_link_delay": FaultKind(1, CONTROL_LINK, 0.5, 3.0),
+    "control_link_reset": FaultKind(1, CONTROL_LINK, 0.0, 0.0),
+    "control_link_silence_up": FaultKind(1, CONTROL_LINK, 0.3, 5.0),
+    "control_link_silence_down": FaultKind(1, CONTROL_LINK, 0.3, 5.0),
     "change_timeout": FaultKind(2, CONFIGURATION, 0.0, 0.0),
     "change_idle": FaultKind(2, CONFIGURATION, 0.0, 0.0),
     "add_route": FaultKind(2, CONFIGURATION, 0.0, 0.0),
@@ -84,6 +89,7 @@
         self.targets = {
             ROUTER: list(routers),
             CONTROL: list(controls),
+            CONTROL_LINK: list(controls),
             UPSTREAM: list(routers),
             ANY_PROCESS: [*routers, *controls],
         }
--- a/src/sassafraswharf_bench/soak/soak_run.py
+++ b/src/sassafraswharf_bench/soak/soak_run.py
@@ -20,6 +20,7 @@
 from sassafraswharf_bench.soak.injector import FaultInjector
 from sassafraswharf_bench.soak.ledger import Ledger
 from sassafraswharf_bench.soak.ledger import RouteProbe
+from sassafraswharf_bench.soak.rollout_prober import RolloutProber
 
 
 if TYPE_CHECKING:
@@ -87,6 +88,7 @@
                 group.create_task(
                     self.changes.read_continuously(machines.controls, stopping)
                 )
+                group.create_task(RolloutProber(self.fleet).run(stopping))
                 await injector.play(faults)
                 self.ledger.is_recovered = await self.recovers_in_time()
                 await asyncio.sleep(SETTLE_S)
--- a/tests/sassafraswharf_bench/soak/test_checks.py
+++ b/tests/sassafraswharf_bench/soak/test_checks.py
@@ -13,6 +13,7 @@
 from sassafraswharf_bench.soak.ledger import HoldPeriod
 from sassafraswharf_bench.soak.ledger import Leave
 from sassafraswharf_bench.soak.ledger import Ledger
+from sassafraswharf_bench.soak.ledger import RolloutProbe
 from sassafraswharf_bench.soak.ledger import RouteProbe
 from sassafraswharf_bench.soak.ledger import RunRecord
 from sassafraswharf_bench.soak.ledger import Signal
@@ -26,6 +27,11 @@
 UPSTREAM = "i-1"
 ROUTER = "side-0"
 OTHER_ROUTER = "side-1"
+ROUTE = "extra-1"
+CONTROL_KILL = [
+    Signal("core-0", "kill", SENT_AT + 0.2),
+    Signal("core-0", "start", SENT_AT + 1.0),
+]
 LOOKUP_FIELDS = {"kind": "lookup", "target": "/diary/1"}
 
 
@@ -89,6 +95,17 @@
     return Change(version, base, status, at, at + 0.1, document(version))
 
 
+def added_route(version: int) -> Change:
+    """Return an acknowledged change that adds a route."""
+    added = document(version, ROUTE)
+    return change(version, version - 1)._replace(document=added)
+
+
+def rollout(version: int, after_s: float, status: int = 404) -> RolloutProbe:
+    """Return a probe of an added route, some seconds after its acknowledgement."""
+    return RolloutProbe(version, ROUTER, ROUTE, SENT_AT + 0.1 + after_s, status)
+
+
 def read(
     version: int, at: float = SENT_AT + 9.0, *routes: str, timeout: str = "5s"
 ) -> ConfigurationRead:
@@ -107,6 +124,7 @@
         Change: ledger.changes,
         ConfigurationRead: ledger.reads,
         RouteProbe: ledger.probes,
+        RolloutProbe: ledger.rollouts,
     }
     for record in records:
         lists[type(record)].append(record)  # type: ignore[index]
@@ -223,6 +241,20 @@
     "a refused change in force": ("CONFIG", [change(8, 7, 412), read(8)]),
     "a read that is not what was sent": ("CONFIG", [change(8, 7), read(8, 109.0, "x")]),
     "a removed route at the end": ("CONFIG", [RouteProbe(ROUTER, "extra-1", 200)]),
+    "an added route that is late": ("CONFIG", [added_route(8), rollout(8, 2.0)]),
+    "an added route that is late for all": (
+        "CONFIG",
+        [*CONTROL_KILL, added_route(8), rollout(8, 7.0)],
+    ),
+    "an added route behind a link that was harmed long ago": (
+        "CONFIG",
+        [
+            Signal("core-0", "harm", SENT_AT - 6.0),
+            Signal("core-0", "heal", SENT_AT - 3.5),
+            added_route(8),
+            rollout(8, 2.0),
+        ],
+    ),
 }
 
 ALLOWED = {
@@ -292,6 +324,24 @@
     "a lost race": [change(8, 7, 412), change(9, 7)],
     "an old read right after a change": [change(8, 7), read(7, SENT_AT + 2.0)],
     "an added route at the end": [RouteProbe(ROUTER, "extra-1", 404)],
+    "an added route in time": [added_route(8), rollout(8, 2.0, 200)],
+    "an added route that is refused for now": [added_route(8), rollout(8, 2.0, 503)],
+    "an added route that was removed again": [
+        added_route(8),
+        change(9, 8, at=SENT_AT + 1.0),
+        rollout(8, 2.0),
+    ],
+    "an added route while a control host is away": [
+        *CONTROL_KILL,
+        added_route(8),
+        rollout(8, 2.0),
+    ],
+    "an added route at a router that was frozen": [
+        Signal(ROUTER, "freeze", SENT_AT),
+        Signal(ROUTER, "thaw", SENT_AT + 1.0),
+        added_route(8),
+        rollout(8, 2.0),
+    ],
 }
 
 
