Reuse no connection that its peer has closed

A booking could be answered with 502, outcome unknown, although it was never sent, when its upstream closed the kept connection in the same moment.

Cause: after the end of the input the transport closes at once, but the protocol is told one step of the loop later. A request in between was written to the closing transport, which drops it, and the exchange ended as sent. On both loops.

A closing connection isn't reusable now, and begin says that nothing was sent.

--- a/src/sassafraswharf/gateway/http_connection.py
+++ b/src/sassafraswharf/gateway/http_connection.py
@@ -127,7 +127,9 @@
     @property
     def is_reusable(self) -> bool:
         """Return whether another request may be sent."""
-        return self.transport is not None and self.is_idle and not self.must_close
+        if self.transport is None or self.transport.is_closing():
+            return False
+        return self.is_idle and not self.must_close
 
     async def run(
         self, work: Work, fields: Iterable[tuple[str, str]], identity: str = ""
@@ -160,7 +162,7 @@
         ``identity`` is what the response must echo in the identity header, if it
         has that header.
         """
-        if self.transport is None:
+        if self.transport is None or self.transport.is_closing():
             raise ExchangeError("the connection is closed", sent=False)
         self.is_idle = False
         self.identity = identity
--- a/tests/gateway/test_http_connection.py
+++ b/tests/gateway/test_http_connection.py
@@ -226,3 +226,37 @@
         assert not connection.is_reusable
 
     run(script, check)
+
+
+def test_a_connection_that_its_peer_has_closed_is_not_reused() -> None:
+    """Guards against a booking that is called unknown although it was never sent.
+
+    The transport closes one step of the loop before the protocol is told. What is
+    written in between is dropped.
+    """
+    reusable: list[bool] = []
+
+    class Watched(HttpConnection):
+        def eof_received(self) -> bool | None:
+            keeps_open = super().eof_received()
+            self._loop.call_soon(lambda: reusable.append(self.is_reusable))
+            return keeps_open
+
+    async def close(
+        _reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.close()
+
+    async def main() -> None:
+        server = await asyncio.start_server(close, "127.0.0.1", 0)
+        connection = await Watched.connect(server.sockets[0].getsockname()[:2], 2.0)
+        for _ in range(100):
+            if reusable:
+                break
+            await asyncio.sleep(0.01)
+        connection.abort()
+        server.close()
+        await asyncio.sleep(0.01)
+
+    asyncio.run(main())
+    assert reusable == [False]
