--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -677,6 +677,9 @@
     def write(self, data: Any) -> None:
         assert data
 
+    def is_closing(self) -> bool:
+        return self.ended
+
     def abort(self) -> None:
         self.ended = True
 
