Count freed keys of a leaving upstream as taken without consent

After a change of the leader, a router that had been cut off could get a lease with a table that still gives its keys to its upstream (OWNER), if that upstream was leaving. And a router whose leaving upstream had no keys when it was cut off got no lease until some other change of the fleet.

Cause: a leaving upstream stays in the table now when its router is lost, and only its keys are freed. A new leader looked at removals only. And the loss was always expected to bring a change of the table, also where there was no key to free.

The version that a new leader requires counts changes that free keys, and a loss without keys asks for no version.

Evidence: test_a_router_whose_upstream_left_without_keys_gets_a_lease_again failed before; the four cases of test_changes_that_revoke_keys_are_remembered use the new name.

--- a/src/sassafraswharf/fleet/control_node.py
+++ b/src/sassafraswharf/fleet/control_node.py
@@ -212,7 +212,7 @@
     def on_role_change(self, is_leader: bool, term: int) -> None:
         """Reset the coordination state for a new term or role."""
         self.log.record("leadership", leads=is_leader, term=term)
-        self.coordinator.start_term(self.clock.now(), self.state.removal_version)
+        self.coordinator.start_term(self.clock.now(), self.state.revocation_version)
         self.feed.clear()
         self.state_changed.notify()
         self.planner.on_role_change()
--- a/src/sassafraswharf/fleet/coordinator.py
+++ b/src/sassafraswharf/fleet/coordinator.py
@@ -95,14 +95,14 @@
         self.crash_table = CrashTable()
         self.renewal = LeaseRenewal()
 
-    def start_term(self, now: float, removal_version: int = 0) -> None:
+    def start_term(self, now: float, revocation_version: int = 0) -> None:
         """Discard the reports of earlier terms; routers send new ones.
 
-        ``removal_version`` is the version of the newest removal of an upstream by
-        an earlier leader.
+        Earlier leaders took keys from routers without their consent up to the table
+        of ``revocation_version``.
         """
         self.sessions = {}
-        self.renewal = LeaseRenewal(removal_version)
+        self.renewal = LeaseRenewal(revocation_version)
         self.ended_instances = set()
         self.weights = {}
         self.first_seen_at = {}
--- a/src/sassafraswharf/fleet/fleet_state.py
+++ b/src/sassafraswharf/fleet/fleet_state.py
@@ -85,8 +85,8 @@
 class FleetState:
     """Applies the log deterministically, so that all control hosts reach one state.
 
-    ``removal_version`` is the fleet version by which all removals of upstreams
-    were made; it isn't part of the replicated state.
+    ``revocation_version`` is the fleet version of the last change that took keys from
+    a router without its consent, or a later one. It isn't part of the replicated state.
     """
 
     def __init__(self, reader: PlanReader) -> None:
@@ -97,7 +97,7 @@
         self.plan_history: deque[PlanChange] = deque(maxlen=MAX_PLAN_HISTORY)
         self.fleet = FleetTable()
         self.fleet_history: deque[VersionedFleet] = deque(maxlen=MAX_FLEET_HISTORY)
-        self.removal_version = 0
+        self.revocation_version = 0
         self.audit: deque[PlanAudit] = deque(maxlen=MAX_AUDIT_ENTRIES)
 
     def apply(self, index: int, command: bytes) -> bytes:
@@ -110,8 +110,8 @@
             change = _FLEET.decode(body)
             self.fleet.apply(index, change)
             self.fleet_history.append(VersionedFleet(index, change))
-            if change.removed:
-                self.removal_version = index
+            if change.revokes_keys:
+                self.revocation_version = index
             return b""
         return msgspec.msgpack.encode(self.decide(index, _PLAN.decode(body)))
 
@@ -212,8 +212,8 @@
         self.fleet = FleetTable()
         self.fleet.apply(stored.fleet_version, stored.fleet)
         self.fleet_history.clear()
-        # A snapshot doesn't tell when the last upstream was removed.
-        self.removal_version = stored.fleet_version
+        # A snapshot doesn't tell which change that was.
+        self.revocation_version = stored.fleet_version
         self.audit = deque(stored.audit, maxlen=MAX_AUDIT_ENTRIES)
 
 
--- a/src/sassafraswharf/fleet/lease_renewal.py
+++ b/src/sassafraswharf/fleet/lease_renewal.py
@@ -21,26 +21,28 @@
     With a lease and a table from before that, it would grant them once more.
     """
 
-    def __init__(self, removal_version: int = 0) -> None:
-        """Start a term; earlier leaders removed upstreams up to a table version."""
-        self.removal_version = removal_version
+    def __init__(self, revocation_version: int = 0) -> None:
+        """Start a term; earlier leaders took keys up to a table version."""
+        self.revocation_version = revocation_version
         self.lost_upstreams: dict[Instance, float] = {}
         self.needed_versions: dict[str, int] = {}
 
     def may_renew(self, request: SyncRequest) -> bool:
         """Return whether a router may get a lease with the table that it reports."""
-        needed = self.needed_versions.get(request.host, self.removal_version)
+        needed = self.needed_versions.get(request.host, self.revocation_version)
         return request.fleet_version >= needed
 
     def on_lost(self, upstream: Upstream, table: FleetTable, now: float) -> None:
         """Record that the router of an upstream has no lease any more.
 
-        This is final, since the change that removes the upstream may be committed
-        at any later time. It will have a version above that of the table. An upstream
-        that leaves stays in the table, without keys.
+        This is final, since the change that takes its keys may be committed at any
+        later time. It will have a version above that of the table. An upstream that
+        leaves stays in the table, without keys.
         """
-        if upstream.instance not in self.lost_upstreams:
-            self.lost_upstreams[upstream.instance] = now
+        if upstream.instance in self.lost_upstreams:
+            return
+        self.lost_upstreams[upstream.instance] = now
+        if table.rows_of(upstream.instance):
             self.needed_versions[upstream.host] = table.version + 1
 
     def on_returned(self, instance: Instance) -> None:
--- a/src/sassafraswharf/fleet/values.py
+++ b/src/sassafraswharf/fleet/values.py
@@ -97,3 +97,10 @@
     rows: tuple[ServiceRows, ...] = ()
     reason: str = ""
     is_whole: bool = False
+
+    @property
+    def revokes_keys(self) -> bool:
+        """Return whether keys lose their owner without the consent of its router."""
+        return bool(self.removed) or any(
+            row.is_free for service in self.rows for row in service.rows
+        )
--- a/tests/fleet/test_departed_upstreams.py
+++ b/tests/fleet/test_departed_upstreams.py
@@ -87,3 +87,17 @@
     fleet.ended["a"] = (departed,) if ended else ()
     fleet.step()
     assert departed not in fleet.table.upstreams
+
+
+def test_a_router_whose_upstream_left_without_keys_gets_a_lease_again() -> None:
+    """Guards against a lease that waits for a change which never comes."""
+    fleet = with_leaving_upstream()
+    fleet.held["a"] = ()
+    fleet.step()
+    assert fleet.owners() == {"i-b", "i-c"}
+    version = fleet.table.version
+    lose_router(fleet)
+    fleet.silent.clear()
+    fleet.step()
+    assert fleet.table.version == version
+    assert fleet.coordinator.renewal.may_renew(fleet.request_of("a"))
--- a/tests/fleet/test_fleet_state.py
+++ b/tests/fleet/test_fleet_state.py
@@ -11,7 +11,14 @@
 from sassafraswharf.fleet.fleet_state import FleetState
 from sassafraswharf.fleet.fleet_state import PlanCommand
 from sassafraswharf.fleet.fleet_state import decode_plan_reply
+from sassafraswharf.fleet.fleet_state import encode_fleet_change
 from sassafraswharf.fleet.fleet_state import encode_plan_command
+from sassafraswharf.fleet.fleet_table import free_rows
+from sassafraswharf.fleet.values import KEY_COUNT
+from sassafraswharf.fleet.values import FleetChange
+from sassafraswharf.fleet.values import Instance
+from sassafraswharf.fleet.values import KeyRow
+from sassafraswharf.fleet.values import ServiceRows
 from sassafraswharf.platform.documents import DocumentReader
 from sassafraswharf.platform.documents import decode_patch
 from sassafraswharf.platform.documents import decode_replacement
@@ -203,3 +210,39 @@
     entry = bytes([CommandKind.PLAN]) + msgspec.msgpack.encode(command)
     state = FleetState(DocumentReader())
     assert decode_plan_reply(state.apply(1, entry)).code == ResultCode.OK
+
+
+INSTANCE = Instance("i-1", 1)
+
+
+@pytest.mark.parametrize(
+    ("change", "revokes"),
+    [
+        pytest.param(FleetChange(removed=(INSTANCE,)), True, id="removed"),
+        pytest.param(
+            FleetChange(rows=(ServiceRows("diary", free_rows()),)), True, id="freed"
+        ),
+        pytest.param(
+            FleetChange(
+                rows=(ServiceRows("diary", (KeyRow(0, KEY_COUNT - 1, INSTANCE, 0),)),)
+            ),
+            False,
+            id="assigned",
+        ),
+        pytest.param(FleetChange(), False, id="nothing"),
+    ],
+)
+def test_changes_that_revoke_keys_are_remembered(
+    change: FleetChange, revokes: bool
+) -> None:
+    """Guards against a new leader that gives a lease to a router with revoked keys.
+
+    An upstream that leaves loses its keys with its router's lease, and stays in the
+    table.
+    """
+    state = FleetState(DocumentReader())
+    state.apply(7, encode_fleet_change(change))
+    assert state.revocation_version == (7 if revokes else 0)
+    restored = FleetState(DocumentReader())
+    restored.restore(state.snapshot())
+    assert restored.revocation_version == 7
