--- a/src/sassafraswharf/platform/documents.py
+++ b/src/sassafraswharf/platform/documents.py
@@ -17,7 +17,7 @@
 
 from sassafraswharf.platform.json_values import MAX_INT64
 from sassafraswharf.platform.json_values import Int64
-from sassafraswharf.platform.json_values import Size
+from sassafraswharf.platform.json_values import NonNegative
 from sassafraswharf.platform.json_values import is_nested_too_deeply
 from sassafraswharf.routing.plan_document import PlanChange
 from sassafraswharf.routing.plan_document import PlanDocument
@@ -76,8 +76,8 @@
 class LimitsDocument(TypedDict):
     """Limits on the requests and connections of callers."""
 
-    maxHeaderBytes: NotRequired[Size]
-    maxBodyBytes: NotRequired[Size]
+    maxHeaderBytes: NotRequired[NonNegative]
+    maxBodyBytes: NotRequired[NonNegative]
     headerTimeout: NotRequired[str]
     idleTimeout: NotRequired[str]
 
--- a/src/sassafraswharf/platform/heartbeats.py
+++ b/src/sassafraswharf/platform/heartbeats.py
@@ -23,7 +23,7 @@
 from sassafraswharf.gateway.heartbeat import Grant
 from sassafraswharf.gateway.heartbeat import Heartbeat
 from sassafraswharf.platform.json_values import Count
-from sassafraswharf.platform.json_values import Size
+from sassafraswharf.platform.json_values import NonNegative
 from sassafraswharf.settings.durations import format_duration
 from sassafraswharf.settings.durations import parse_duration
 from sassafraswharf.settings.node_loader import parse_address
@@ -33,6 +33,7 @@
 DECODE_ERRORS: Final = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
 
 Key = Annotated[int, msgspec.Meta(ge=0, lt=KEY_COUNT)]
+"""A key of a service, also as the bound of a range."""
 
 
 class HeartbeatDocument(TypedDict):
@@ -50,16 +51,16 @@
     slots: Count
     state: str
     coldRemaining: str
-    sequence: Size
-    born: NotRequired[Size]
-    holds: NotRequired[list[tuple[Key, Key, Size]]]
+    sequence: NonNegative
+    born: NotRequired[NonNegative]
+    holds: NotRequired[list[tuple[Key, Key, NonNegative]]]
     released: NotRequired[list[tuple[Key, Key, str]]]
 
 
 class LeaveDocument(TypedDict):
     """Body of a deregistration."""
 
-    born: NotRequired[Size]
+    born: NotRequired[NonNegative]
 
 
 HEARTBEAT_DECODER = msgspec.json.Decoder(HeartbeatDocument)
--- a/src/sassafraswharf/platform/json_values.py
+++ b/src/sassafraswharf/platform/json_values.py
@@ -17,10 +17,10 @@
 
 Int64 = Annotated[int, msgspec.Meta(ge=-MAX_INT64, le=MAX_INT64)]
 """An integer that can be stored in a log entry or message."""
-Size = Annotated[int, msgspec.Meta(ge=0, le=MAX_INT64)]
-"""A number of bytes, a time or a sequence number."""
+NonNegative = Annotated[int, msgspec.Meta(ge=0, le=MAX_INT64)]
+"""A size, time, sequence number or fence."""
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
-"""A number of things."""
+"""A number of things, such as slots."""
 
 STRINGS: Final = re.compile(rb'"(?:[^"\\]|\\.)*"', re.DOTALL)
 BRACKETS: Final = re.compile(rb"[\[{]|[\]}]")
