Refuse routes that name an unknown service beside a split

A configuration with a route that has a split and, beside it, a service that doesn't exist was acknowledged, although a route that names an unknown service makes it invalid (CONFIG).

Cause: the service beside a split isn't used, so it wasn't read.

The leader looks at all services that changed routes name before it proposes a change, and answers 400.

Evidence: the end-to-end test gets 400 for such a change.

--- a/src/sassafraswharf/fleet/control_node.py
+++ b/src/sassafraswharf/fleet/control_node.py
@@ -251,6 +251,12 @@
             )
         if not self.can_acknowledge():
             return PlanAnswer(PlanOutcome.UNKNOWN, "too few copies of the log")
+        problem = self.state.find_problem(change)
+        if problem:
+            self.log.record(
+                "configuration_refused", version=change.version, why=problem
+            )
+            return PlanAnswer(PlanOutcome.INVALID, problem)
         command = encode_plan_command(PlanCommand(change, actor, time.time()))
         done = await self.group.propose(command, PROPOSAL_TIMEOUT_S)
         if isinstance(done, Err):
--- a/src/sassafraswharf/fleet/fleet_state.py
+++ b/src/sassafraswharf/fleet/fleet_state.py
@@ -158,6 +158,19 @@
             self.accepted_digests.popitem(last=False)
         return PlanReply(ResultCode.OK, "accepted", change.version)
 
+    def find_problem(self, change: PlanChange) -> str:
+        """Return why a change must not be proposed, or an empty string.
+
+        It is stricter than ``apply``, which decides on changes in the log as earlier
+        builds did. A change that was accepted before is never refused.
+        """
+        if change.digest in self.accepted_digests:
+            return ""
+        if change.base_version != self.plan.version:
+            return ""
+        unknown = self.plan.unknown_services(change)
+        return f"there is no service {min(unknown)!r}" if unknown else ""
+
     def plan_since(self, version: int) -> list[PlanChange]:
         """Return the changes after a version, or the whole configuration."""
         if version >= self.plan.version:
--- a/src/sassafraswharf/platform/documents.py
+++ b/src/sassafraswharf/platform/documents.py
@@ -165,6 +165,15 @@
             )
         )
 
+    def read_service_names(self, content: bytes) -> tuple[str, ...]:
+        """Return the services of a route: of its split and the one beside that."""
+        try:
+            document = ROUTE_DECODER.decode(content)
+        except DECODE_ERRORS:
+            return ()
+        split = tuple(one["service"] for one in document.get("trafficSplit", ()))
+        return (*split, document["service"]) if "service" in document else split
+
     def read_service(self, content: bytes) -> Result[RoutedService, str]:
         """Decode a service, or return what is wrong with it."""
         try:
--- a/src/sassafraswharf/routing/plan_document.py
+++ b/src/sassafraswharf/routing/plan_document.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from itertools import chain
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 from typing import Protocol
@@ -52,6 +53,9 @@
     def read_route(self, content: bytes) -> Result[Route, str]:
         """Return a route."""
 
+    def read_service_names(self, content: bytes) -> tuple[str, ...]:
+        """Return the services that a route names, used or not; none if it is invalid."""
+
     def read_service(self, content: bytes) -> Result[RoutedService, str]:
         """Return a service."""
 
@@ -101,6 +105,17 @@
         problem = find_problem(changed.plan)
         return Err(problem) if problem else Ok(changed)
 
+    def unknown_services(self, change: PlanChange) -> set[str]:
+        """Return the services that changed routes name and that wouldn't exist.
+
+        ``apply`` refuses an unknown service only where a route would use it.
+        """
+        known = {item.name for item in change.services}
+        if not change.is_whole:
+            known |= self.services.keys() - set(change.removed_services)
+        named = (self.reader.read_service_names(one.content) for one in change.routes)
+        return set(chain.from_iterable(named)) - known
+
     def as_change(self) -> PlanChange:
         """Return the whole document as a change that recreates it."""
         return PlanChange(
--- a/tests/fleet/test_fleet_state.py
+++ b/tests/fleet/test_fleet_state.py
@@ -212,6 +212,46 @@
     assert decode_plan_reply(state.apply(1, entry)).code == ResultCode.OK
 
 
+SPLIT = [{"service": "diary", "weight": 1}]
+
+
+@pytest.mark.parametrize(
+    ("body", "problem"),
+    [
+        (whole(5, 4, route("s", trafficSplit=SPLIT)), False),
+        (whole(5, 4, route("s", trafficSplit=SPLIT, service="nowhere")), True),
+        (whole(5, 4, route("s", service="nowhere")), True),
+        (patch(5, 4, route("s", trafficSplit=SPLIT, service="nowhere")), True),
+        (patch(5, 4, route("s", trafficSplit=SPLIT)), False),
+        (patch(5, 4, route("s"), services=["diary"]), True),
+        (whole(5, 3, route("s", trafficSplit=SPLIT, service="nowhere")), False),
+    ],
+)
+def test_a_route_that_names_an_unknown_service_is_refused(
+    body: bytes, problem: bool
+) -> None:
+    """Guards against an invalid configuration that is acknowledged (CONFIG).
+
+    A service beside a split isn't used, and was not looked at. A change on another
+    version is left to the log, which answers that it is outdated.
+    """
+    state = FleetState(DocumentReader())
+    first = decode_replacement(whole(4, 0)).unwrap()
+    state.apply(1, encode_plan_command(PlanCommand(first, "", 0.0)))
+    decode = decode_patch if b"upsert" in body else decode_replacement
+    assert bool(state.find_problem(decode(body).unwrap())) is problem
+
+
+def test_a_change_that_was_accepted_is_not_refused_later() -> None:
+    """Guards against a refusal of a change that an earlier build has accepted."""
+    state = FleetState(DocumentReader())
+    body = whole(4, 0, route("s", trafficSplit=SPLIT, service="nowhere"))
+    change = decode_replacement(body).unwrap()
+    state.apply(1, encode_plan_command(PlanCommand(change, "", 0.0)))
+    assert state.plan.version == 4
+    assert not state.find_problem(change)
+
+
 INSTANCE = Instance("i-1", 1)
 
 
--- a/tests/provider/test_fleet.py
+++ b/tests/provider/test_fleet.py
@@ -150,6 +150,9 @@
         changed = document(5, 1, new=extra)
         assert await fleet.operator.replace(changed) == 200
         assert await fleet.operator.replace(document(6, 1)) == 412
+        split = [{"service": BOOKING, "weight": 1}]
+        beside = {**extra, "trafficSplit": split, "service": "nowhere"}
+        assert await fleet.operator.replace(document(6, 5, new=beside)) == 400
 
         async def is_in_force() -> bool:
             replies = [
