--- a/src/sassafraswharf/routing/plan_document.py
+++ b/src/sassafraswharf/routing/plan_document.py
@@ -54,7 +54,10 @@
         """Return a route."""
 
     def read_service_names(self, content: bytes) -> tuple[str, ...]:
-        """Return the services that a route names, used or not; none if it is invalid."""
+        """Return the services that a route names, also unused ones.
+
+        There are none if the route is invalid.
+        """
 
     def read_service(self, content: bytes) -> Result[RoutedService, str]:
         """Return a service."""
