Seed random generators from the host and the operating system

Cause: election timeouts came from a generator seeded with the time of day. Hosts that start together read the same time where the clock moves in steps, so all drew the same timeouts and split the votes in each term.

Generators are seeded from the address of the host and the system's random source now, on control hosts and routers of both deployments. Routers that started together also made the same choices among upstreams.

--- a/src/sassafraswharf/control/control_part.py
+++ b/src/sassafraswharf/control/control_part.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
-import time
 
 from pathlib import Path
 from typing import TYPE_CHECKING
@@ -26,6 +24,7 @@
 from sassafraswharf.identifiers import ReplicaId
 from sassafraswharf.leases.messages import LeaseRefusal
 from sassafraswharf.leases.messages import LeaseRenewal
+from sassafraswharf.randomness import create_generator
 from sassafraswharf.transport import messages
 from sassafraswharf.transport.envelope import MessageKind
 from sassafraswharf.transport.mailbox import Peer
@@ -62,7 +61,7 @@
         self.mailbox = mailbox
         self.datagrams = datagrams
         self.clock = clock
-        self.rng = random.Random(time.time_ns())
+        self.rng = create_generator(settings["host"])
         self.hosts: dict[str, ControlHostSettings] = {
             host["name"]: host for host in settings["control_hosts"]
         }
--- a/src/sassafraswharf/fleet/control_node.py
+++ b/src/sassafraswharf/fleet/control_node.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
 import time
 
 from pathlib import Path
@@ -46,6 +45,7 @@
 from sassafraswharf.identifiers import GroupId
 from sassafraswharf.identifiers import ReplicaId
 from sassafraswharf.peering.plain_sealer import PlainSealer
+from sassafraswharf.randomness import create_generator
 from sassafraswharf.router.change_signal import ChangeSignal
 from sassafraswharf.router.http_server import HttpServer
 from sassafraswharf.transport import messages
@@ -139,7 +139,7 @@
             seeds,
             self.transmit,
             self.clock,
-            random.Random(time.time_ns()),
+            create_generator(self.node.address),
             GROUP_TIMING,
             MembershipPolicy(may_bootstrap, voters),
         )
--- a/src/sassafraswharf/gateway/router_node.py
+++ b/src/sassafraswharf/gateway/router_node.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
 import time
 
 from typing import TYPE_CHECKING
@@ -29,6 +28,7 @@
 from sassafraswharf.gateway.request_reader import RequestReader
 from sassafraswharf.gateway.retry_budget import RetryBudget
 from sassafraswharf.gateway.upstream_choice import UpstreamChooser
+from sassafraswharf.randomness import create_generator
 from sassafraswharf.router.http_server import HttpServer
 
 
@@ -87,7 +87,7 @@
         self.clock = clock
         self.log = log
         self.boot_id = time.time_ns()
-        self.rng = random.Random(self.boot_id)
+        self.rng = create_generator(node.address)
         timing = LeaseTiming()
         wanted_s = (
             CALL_GRANTED_HOLD_S
--- a/src/sassafraswharf/router/router_part.py
+++ b/src/sassafraswharf/router/router_part.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import ipaddress
-import random
 
 from typing import TYPE_CHECKING
 from typing import Final
@@ -20,6 +19,7 @@
 from sassafraswharf.identifiers import UpstreamId
 from sassafraswharf.leases.holder import LeaseHolder
 from sassafraswharf.leases.messages import LeaseTiming
+from sassafraswharf.randomness import create_generator
 from sassafraswharf.requests.outcome import OUTCOMES
 from sassafraswharf.requests.outcome import ExchangeResult
 from sassafraswharf.requests.upstream_choice import UpstreamChoice
@@ -142,7 +142,7 @@
             self.peer_routers,
             UpstreamChoice(),
             clock,
-            random.Random(incarnation),
+            create_generator(host),
         )
         self.reader = RequestReader(self.view, self.request_ids, self.signer, clock)
         limits = settings["router"]
